Lay the workspace and the first library packages

Cause: the project starts from nothing. Ruled out: a store call for each request or task start (several hundred writes a second serve all daemons), and one elected leader (a store outage stops it).

--- /dev/null
+++ b/tanager/tanagerconfig/config.go
@@ -0,0 +1,152 @@
+package tanagerconfig
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tanagersail.example/tanager/tanagerfailure"
+	"tanagersail.example/tanager/tanagerresource"
+)
+
+// Limits are the bounds that the centre sets on branches and exceptions.
+type Limits struct {
+	// MaxWeight is the largest weight of a branch, exceptions included.
+	MaxWeight float64 `json:"max_weight" yaml:"max_weight"`
+	// MaxWeightFactor is the largest factor of an exception.
+	MaxWeightFactor float64 `json:"max_weight_factor" yaml:"max_weight_factor"`
+	// MaxUrgentShare is the largest urgent share of a branch, from 0 to 1.
+	MaxUrgentShare float64 `json:"max_urgent_share" yaml:"max_urgent_share"`
+	// MaxExceptionTime is the longest time that an exception may run.
+	MaxExceptionTime time.Duration `json:"max_exception_time" yaml:"max_exception_time"`
+}
+
+// Rules are what holds for one branch.
+type Rules struct {
+	Weight      float64                `json:"weight" yaml:"weight"`
+	UrgentShare float64                `json:"urgent_share" yaml:"urgent_share"`
+	Quota       tanagerresource.Vector `json:"quota,omitzero" yaml:"quota"`
+}
+
+// Exception bends the rules of a branch for a time.
+type Exception struct {
+	Name string `json:"name"`
+	// WeightFactor multiplies the weight.
+	WeightFactor float64 `json:"weight_factor"`
+	// UrgentShare replaces the urgent share if it is larger.
+	UrgentShare float64   `json:"urgent_share,omitempty"`
+	From        time.Time `json:"from"`
+	Until       time.Time `json:"until"`
+}
+
+// inForce reports whether the exception holds at a time.
+func (e Exception) inForce(now time.Time) bool {
+	return !now.Before(e.From) && now.Before(e.Until)
+}
+
+// Branch is a branch with its exceptions.
+type Branch struct {
+	Rules      Rules       `json:"rules"`
+	Exceptions []Exception `json:"exceptions,omitempty"`
+}
+
+// State is the whole configuration at one revision.
+type State struct {
+	Revision uint64            `json:"revision"`
+	Limits   Limits            `json:"limits"`
+	Branches map[string]Branch `json:"branches"`
+}
+
+// DefaultLimits are the limits before the centre has set any.
+var DefaultLimits = Limits{
+	MaxWeight:        100,
+	MaxWeightFactor:  4,
+	MaxUrgentShare:   0.5,
+	MaxExceptionTime: 31 * 24 * time.Hour,
+}
+
+// New returns the configuration of revision zero, without branches.
+func New() State {
+	return State{
+		Limits:   DefaultLimits,
+		Branches: make(map[string]Branch),
+	}
+}
+
+// Effective returns the rules of a branch with the exceptions in force at a
+// time, and whether the branch exists.
+func (s State) Effective(branch string, now time.Time) (Rules, bool) {
+	b, ok := s.Branches[branch]
+	if !ok {
+		return Rules{}, false
+	}
+	rules := b.Rules
+	for _, e := range b.Exceptions {
+		if e.inForce(now) {
+			rules.Weight = min(rules.Weight*e.WeightFactor, s.Limits.MaxWeight)
+			rules.UrgentShare = max(rules.UrgentShare, e.UrgentShare)
+		}
+	}
+	return rules, true
+}
+
+// BranchNames returns the names of all branches in order.
+func (s State) BranchNames() []string { return slices.Sorted(maps.Keys(s.Branches)) }
+
+func (s State) clone() State {
+	s.Branches = maps.Clone(s.Branches)
+	return s
+}
+
+// IntentKind tells what an intent changes.
+type IntentKind string
+
+// The kinds of intent.
+const (
+	SetBranch       IntentKind = "set_branch"
+	RemoveBranch    IntentKind = "remove_branch"
+	GrantException  IntentKind = "grant_exception"
+	RevokeException IntentKind = "revoke_exception"
+	SetLimits       IntentKind = "set_limits"
+)
+
+// Intent is a change that an operator asks for.
+type Intent struct {
+	Kind IntentKind `json:"kind" yaml:"kind"`
+	// Branch is set for all kinds but set_limits.
+	Branch string `json:"branch,omitempty" yaml:"branch"`
+	// Rules is set for set_branch.
+	Rules *Rules `json:"rules,omitempty" yaml:"rules"`
+	// Exception is set for grant_exception.
+	Exception *Exception `json:"exception,omitempty" yaml:"exception"`
+	// Name is set for revoke_exception.
+	Name string `json:"name,omitempty" yaml:"name"`
+	// Limits is set for set_limits.
+	Limits *Limits `json:"limits,omitempty" yaml:"limits"`
+}
+
+// Apply returns the configuration with an intent applied and the revision one
+// higher. On failure nothing has changed.
+func (s State) Apply(i Intent, now time.Time) (State, *tanagerfailure.Failure) {
+	next := s.clone()
+	var failure *tanagerfailure.Failure
+	switch i.Kind {
+	case SetBranch:
+		failure = next.setBranch(i)
+	case RemoveBranch:
+		failure = next.removeBranch(i)
+	case GrantException:
+		failure = next.grant(i, now)
+	case RevokeException:
+		failure = next.revoke(i)
+	case SetLimits:
+		failure = next.setLimits(i)
+	default:
+		failure = invalid("kind", "is not one of set_branch, remove_branch, grant_exception, revoke_exception, set_limits")
+	}
+	if failure != nil {
+		return s, failure
+	}
+	next.Revision++
+	return next, nil
+}
--- /dev/null
+++ b/tanager/tanagerfailure/failure.go
@@ -0,0 +1,148 @@
+package tanagerfailure
+
+import (
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Outcome is the final result of a request or a task.
+type Outcome string
+
+// The four outcomes. The empty Outcome means that the work has not ended.
+const (
+	Done    Outcome = "done"
+	Failed  Outcome = "failed"
+	NotRun  Outcome = "not_run"
+	Unknown Outcome = "unknown"
+)
+
+// Code identifies a kind of failure. Codes are stable across versions.
+type Code string
+
+// The codes of the public interfaces.
+const (
+	MalformedBody       Code = "malformed_body"
+	InvalidField        Code = "invalid_field"
+	BodyTooLarge        Code = "body_too_large"
+	Unauthenticated     Code = "unauthenticated"
+	Forbidden           Code = "forbidden"
+	UnknownBranch       Code = "unknown_branch"
+	UnknownService      Code = "unknown_service"
+	UnknownJob          Code = "unknown_job"
+	UnknownPlan         Code = "unknown_plan"
+	DeadlinePassed      Code = "deadline_passed"
+	DeadlineUnreachable Code = "deadline_unreachable"
+	QueueFull           Code = "queue_full"
+	NoOwner             Code = "no_owner"
+	NoTarget            Code = "no_target"
+	Draining            Code = "draining"
+	StoreUnavailable    Code = "store_unavailable"
+	OutcomeUnknown      Code = "outcome_unknown"
+	RequestIDLost       Code = "request_id_lost"
+	RequestIDExpired    Code = "request_id_expired"
+	RequestIDReused     Code = "request_id_reused"
+	TargetFailed        Code = "target_failed"
+	RetriesExhausted    Code = "retries_exhausted"
+	JobImpossible       Code = "job_impossible"
+	QuotaExceeded       Code = "quota_exceeded"
+	LimitExceeded       Code = "limit_exceeded"
+	StalePlan           Code = "stale_plan"
+	Cancelled           Code = "cancelled"
+)
+
+type codeProperties struct {
+	status  int
+	outcome Outcome
+	hint    string
+}
+
+var properties = map[Code]codeProperties{
+	MalformedBody:       {http.StatusBadRequest, NotRun, "send a body that matches the documented shape"},
+	InvalidField:        {http.StatusBadRequest, NotRun, "correct the named field"},
+	BodyTooLarge:        {http.StatusRequestEntityTooLarge, NotRun, "send a smaller body"},
+	Unauthenticated:     {http.StatusUnauthorized, NotRun, "send a known token as Authorization: Bearer"},
+	Forbidden:           {http.StatusForbidden, NotRun, "use a token that is allowed to do this"},
+	UnknownBranch:       {http.StatusNotFound, NotRun, "create the branch with an intent first"},
+	UnknownService:      {http.StatusNotFound, NotRun, "check the service name against the platform's list"},
+	UnknownJob:          {http.StatusNotFound, NotRun, "check the job id"},
+	UnknownPlan:         {http.StatusNotFound, NotRun, "make a new plan"},
+	DeadlinePassed:      {http.StatusServiceUnavailable, NotRun, "send again with a longer timeout"},
+	DeadlineUnreachable: {http.StatusTooManyRequests, NotRun, "come back after the stated time"},
+	QueueFull:           {http.StatusTooManyRequests, NotRun, "come back after the stated time"},
+	NoOwner:             {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
+	NoTarget:            {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
+	Draining:            {http.StatusServiceUnavailable, NotRun, "send to another daemon"},
+	StoreUnavailable:    {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
+	OutcomeUnknown:      {http.StatusGatewayTimeout, Unknown, "the work may have run: check before you send it as new work"},
+	RequestIDLost:       {http.StatusConflict, Unknown, "the daemon that issued the id is gone: check whether the work ran"},
+	RequestIDExpired:    {http.StatusConflict, Unknown, "the id is too old to be known: check whether the work ran"},
+	RequestIDReused:     {http.StatusConflict, NotRun, "use a request id for one body only"},
+	TargetFailed:        {http.StatusBadGateway, Failed, "the target answered with an error"},
+	RetriesExhausted:    {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
+	JobImpossible:       {http.StatusUnprocessableEntity, NotRun, "ask for less than the largest worker holds"},
+	QuotaExceeded:       {http.StatusTooManyRequests, NotRun, "wait for running work to end or ask for a larger quota"},
+	LimitExceeded:       {http.StatusUnprocessableEntity, NotRun, "stay inside the limits that the centre set"},
+	StalePlan:           {http.StatusConflict, NotRun, "make a new plan against the current revision"},
+	Cancelled:           {http.StatusConflict, NotRun, "the work was cancelled before it started"},
+}
+
+// Codes returns every public code, for documentation and tests.
+func Codes() []Code {
+	codes := make([]Code, 0, len(properties))
+	for c := range properties {
+		codes = append(codes, c)
+	}
+	return codes
+}
+
+// Failure is a typed, final answer other than Done. The zero value is not a
+// valid failure.
+type Failure struct {
+	Code    Code    `json:"code"`
+	Message string  `json:"message"`
+	Hint    string  `json:"hint"`
+	Outcome Outcome `json:"outcome"`
+	// RetryAfter is zero when coming back does not help.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+}
+
+// New returns the failure of the given code. It panics if the code is not one
+// of the codes of this package.
+func New(code Code, message string) *Failure {
+	p, ok := properties[code]
+	if !ok {
+		panic("tanagerfailure: unregistered code " + string(code))
+	}
+	return &Failure{
+		Code:    code,
+		Message: message,
+		Hint:    p.hint,
+		Outcome: p.outcome,
+	}
+}
+
+// After returns a copy of f that tells the caller to come back after d.
+func (f *Failure) After(d time.Duration) *Failure {
+	c := *f
+	c.RetryAfter = d
+	return &c
+}
+
+// Error implements error.
+func (f *Failure) Error() string { return string(f.Code) + ": " + f.Message }
+
+// Status returns the HTTP status that belongs to the failure.
+func (f *Failure) Status() int {
+	if p, ok := properties[f.Code]; ok {
+		return p.status
+	}
+	return http.StatusInternalServerError
+}
+
+// RetryAfterSeconds returns RetryAfter in whole seconds, rounded up, in the
+// form of the HTTP Retry-After header.
+func (f *Failure) RetryAfterSeconds() string {
+	return strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds())))
+}
--- /dev/null
+++ b/tanager/tanagerjournal/journal.go
@@ -0,0 +1,241 @@
+package tanagerjournal
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"tanagersail.example/tanager/tanagerstore"
+	"tanagersail.example/tanager/tanagerwire"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("tanagerjournal")
+
+// Replaced means that another writer has appended since the journal was last
+// loaded: the caller must load it again.
+var Replaced = Errors.NewType("replaced")
+
+// Store is what a journal needs of the key-value service.
+type Store interface {
+	Read(ctx context.Context, prefix string) (tanagerstore.Snapshot, error)
+	Swap(ctx context.Context, s tanagerstore.Swap) (tanagerstore.Entry, error)
+}
+
+// Settings of a Journal. All fields are required.
+type Settings struct {
+	// Prefix is the common part of the journal's two keys.
+	Prefix string
+	// Writer names this process uniquely across restarts.
+	Writer string
+	// Window is the largest number of records in the head.
+	Window int
+	// WindowBytes is the largest size of the records in the head.
+	WindowBytes int
+}
+
+// Record is one entry of a journal.
+type Record struct {
+	Sequence uint64 `json:"sequence"`
+	Payload  []byte `json:"payload"`
+}
+
+// Recovery is what a reader has to apply, in this order.
+type Recovery struct {
+	// Snapshot is nil if there is none newer than the reader's state.
+	Snapshot []byte
+	Records  []Record
+	// Sequence is that of the last record.
+	Sequence uint64
+}
+
+type head struct {
+	Writer string `json:"writer"`
+	Write  uint64 `json:"write"`
+	// Sequence is that of the last record.
+	Sequence uint64 `json:"sequence"`
+	// Base is the sequence that the snapshot reaches.
+	Base    uint64   `json:"base"`
+	Records []Record `json:"records"`
+}
+
+type snapshot struct {
+	Writer   string `json:"writer"`
+	Write    uint64 `json:"write"`
+	Sequence uint64 `json:"sequence"`
+	State    []byte `json:"state"`
+}
+
+// Journal reads and appends records. It is not safe for concurrent use.
+type Journal struct {
+	store    Store
+	settings Settings
+	head     head
+	revision uint64
+	writes   uint64
+}
+
+// New returns a journal that has not been loaded.
+func New(store Store, s Settings) *Journal {
+	return &Journal{
+		store:    store,
+		settings: s,
+	}
+}
+
+// HeadKey returns the key whose changes a reader has to watch.
+func (j *Journal) HeadKey() string { return j.settings.Prefix + "/head" }
+
+func (j *Journal) snapshotKey() string { return j.settings.Prefix + "/snapshot" }
+
+// Sequence returns the sequence of the last known record.
+func (j *Journal) Sequence() uint64 { return j.head.Sequence }
+
+// Load reads the whole journal.
+func (j *Journal) Load(ctx context.Context) (Recovery, error) {
+	read, err := j.store.Read(ctx, j.settings.Prefix+"/")
+	if err != nil {
+		return Recovery{}, err
+	}
+	var saved snapshot
+	j.head = head{}
+	j.revision = 0
+	for _, e := range read.Entries {
+		switch e.Key {
+		case j.HeadKey():
+			j.revision = e.Revision
+			err = tanagerwire.Decode(e.Value, &j.head)
+		case j.snapshotKey():
+			err = tanagerwire.Decode(e.Value, &saved)
+		}
+		if err != nil {
+			return Recovery{}, err
+		}
+	}
+	return Recovery{
+		Snapshot: saved.State,
+		Records:  after(j.head.Records, saved.Sequence),
+		Sequence: j.head.Sequence,
+	}, nil
+}
+
+// Advance takes a newer head entry from a watch. It returns the records that
+// are new and true, or false if the reader has to call Load because it has
+// missed records that are no longer in the head.
+func (j *Journal) Advance(e tanagerstore.Entry) ([]Record, bool, error) {
+	if e.Revision <= j.revision || e.Deleted {
+		return nil, true, nil
+	}
+	var next head
+	if err := tanagerwire.Decode(e.Value, &next); err != nil {
+		return nil, false, err
+	}
+	if next.Base > j.head.Sequence {
+		return nil, false, nil
+	}
+	records := after(next.Records, j.head.Sequence)
+	j.head = next
+	j.revision = e.Revision
+	return records, true, nil
+}
+
+func after(records []Record, sequence uint64) []Record {
+	for i, r := range records {
+		if r.Sequence > sequence {
+			return records[i:]
+		}
+	}
+	return nil
+}
+
+// Append adds records in one write, preceded by a snapshot when the window is
+// full. State returns the state that all records up to Sequence add up to. On
+// error nothing is known to be appended; after Replaced or an Ambiguous store
+// error the journal must be loaded again before the next Append.
+func (j *Journal) Append(ctx context.Context, payloads [][]byte, state func() []byte) error {
+	next := head{
+		Writer:   j.settings.Writer,
+		Sequence: j.head.Sequence,
+		Base:     j.head.Base,
+		Records:  append([]Record(nil), j.head.Records...),
+	}
+	if j.full(payloads) {
+		if err := j.save(ctx, state()); err != nil {
+			return err
+		}
+		next.Base = j.head.Sequence
+		next.Records = nil
+	}
+	for _, p := range payloads {
+		next.Sequence++
+		next.Records = append(next.Records, Record{
+			Sequence: next.Sequence,
+			Payload:  p,
+		})
+	}
+	j.writes++
+	next.Write = j.writes
+	entry, err := j.store.Swap(ctx, tanagerstore.Swap{
+		Key:      j.HeadKey(),
+		Value:    tanagerwire.Encode(next),
+		Expected: j.revision,
+	})
+	if errorx.IsOfType(err, tanagerstore.Conflict) {
+		return Replaced.Wrap(err, "append to %s", j.settings.Prefix)
+	}
+	if err != nil {
+		return err
+	}
+	j.head = next
+	j.revision = entry.Revision
+	return nil
+}
+
+func (j *Journal) full(payloads [][]byte) bool {
+	if len(j.head.Records) == 0 {
+		return false
+	}
+	size := 0
+	for _, r := range j.head.Records {
+		size += len(r.Payload)
+	}
+	for _, p := range payloads {
+		size += len(p)
+	}
+	return len(j.head.Records)+len(payloads) > j.settings.Window || size > j.settings.WindowBytes
+}
+
+// save stores a snapshot of the state up to the current sequence. A snapshot
+// that reaches further is left as it is: its writer has replaced this one.
+func (j *Journal) save(ctx context.Context, state []byte) error {
+	read, err := j.store.Read(ctx, j.snapshotKey())
+	if err != nil {
+		return err
+	}
+	var expected uint64
+	for _, e := range read.Entries {
+		var saved snapshot
+		if err := tanagerwire.Decode(e.Value, &saved); err != nil {
+			return err
+		}
+		if saved.Sequence > j.head.Sequence {
+			return Replaced.New("snapshot of %s", j.settings.Prefix)
+		}
+		expected = e.Revision
+	}
+	j.writes++
+	_, err = j.store.Swap(ctx, tanagerstore.Swap{
+		Key: j.snapshotKey(),
+		Value: tanagerwire.Encode(snapshot{
+			Writer:   j.settings.Writer,
+			Write:    j.writes,
+			Sequence: j.head.Sequence,
+			State:    state,
+		}),
+		Expected: expected,
+	})
+	if errorx.IsOfType(err, tanagerstore.Conflict) {
+		return Replaced.Wrap(err, "snapshot of %s", j.settings.Prefix)
+	}
+	return err
+}
--- /dev/null
+++ b/tanager/tanagerplatform/client.go
@@ -0,0 +1,192 @@
+package tanagerplatform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("tanagerplatform")
+
+// The types of error that a Client returns.
+var (
+	// Unreached means that no byte of the call reached the VM.
+	Unreached = Errors.NewType("unreached", errorx.Temporary())
+	// Unanswered means that the call may have taken effect.
+	Unanswered = Errors.NewType("unanswered", errorx.Timeout())
+	// Fenced means that the VM has seen a higher epoch.
+	Fenced = Errors.NewType("fenced")
+	// Refused means that the VM answered with an error status.
+	Refused = Errors.NewType("refused")
+)
+
+// Settings of a Client.
+type Settings struct {
+	// CallTimeout bounds every call beyond the time it asks to wait.
+	CallTimeout time.Duration
+	// ConnectionsPerVM bounds the connections to one VM; zero is no bound.
+	ConnectionsPerVM int
+}
+
+// Client calls the platform's VMs. It is safe for concurrent use.
+type Client struct {
+	settings Settings
+	http     *http.Client
+}
+
+// NewClient returns a client. It opens no connection until the first call.
+func NewClient(s Settings) *Client {
+	return &Client{
+		settings: s,
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext: (&net.Dialer{
+					Timeout: s.CallTimeout,
+				}).DialContext,
+				MaxConnsPerHost:     s.ConnectionsPerVM,
+				MaxIdleConnsPerHost: 16,
+				IdleConnTimeout:     time.Minute,
+			},
+		},
+	}
+}
+
+// VMs returns the VMs that changed after a revision, waiting for wait at most.
+func (c *Client) VMs(ctx context.Context, list netip.AddrPort, after uint64, wait time.Duration) (VMList, error) {
+	var answer VMList
+	call := ListCall{
+		After:  after,
+		WaitMS: wait.Milliseconds(),
+	}
+	err := c.post(ctx, wait, list, "/v1/vms", call, &answer)
+	return answer, err
+}
+
+// Sync renews a worker's task lease and returns what changed on it.
+func (c *Client) Sync(ctx context.Context, worker netip.AddrPort, call SyncCall) (SyncReport, error) {
+	var report SyncReport
+	err := c.post(ctx, call.Wait, worker, "/v1/sync", call, &report)
+	return report, err
+}
+
+// Start starts tasks on a worker.
+func (c *Client) Start(ctx context.Context, worker netip.AddrPort, call StartCall) (StartReport, error) {
+	var report StartReport
+	err := c.post(ctx, 0, worker, "/v1/start", call, &report)
+	return report, err
+}
+
+// Stop takes resources from tasks on a worker.
+func (c *Client) Stop(ctx context.Context, worker netip.AddrPort, call StopCall) error {
+	return c.post(ctx, 0, worker, "/v1/stop", call, &struct{}{})
+}
+
+// Status asks a target for its slots.
+func (c *Client) Status(ctx context.Context, target netip.AddrPort) (TargetStatus, error) {
+	var status TargetStatus
+	ctx, cancel := context.WithTimeout(ctx, c.settings.CallTimeout)
+	defer cancel()
+	request := newRequest(ctx, http.MethodGet, target, "/status", nil)
+	err := c.do(request, &status)
+	return status, err
+}
+
+// RunCall is one request to a target.
+type RunCall struct {
+	ID         string
+	Idempotent bool
+	Path       string
+	Body       []byte
+}
+
+// RunAnswer is a target's whole answer.
+type RunAnswer struct {
+	Status int
+	Body   []byte
+}
+
+// The headers that a target receives with a request.
+const (
+	RequestIDHeader  = "Tanager-Request-Id"
+	IdempotentHeader = "Tanager-Idempotent"
+)
+
+// Run sends a request to a target and returns its whole answer. It returns
+// Unreached only if no byte of the request was sent. The deadline is that of
+// ctx.
+func (c *Client) Run(ctx context.Context, target netip.AddrPort, call RunCall) (RunAnswer, error) {
+	request := newRequest(ctx, http.MethodPost, target, "/run/"+call.Path, call.Body)
+	// Without a way to rewind the body the transport sends it at most once.
+	request.GetBody = nil
+	request.Header.Set(RequestIDHeader, call.ID)
+	if call.Idempotent {
+		request.Header.Set(IdempotentHeader, "true")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return RunAnswer{}, classify(err, target)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return RunAnswer{}, Unanswered.Wrap(err, "%s", target)
+	}
+	return RunAnswer{
+		Status: response.StatusCode,
+		Body:   body,
+	}, nil
+}
+
+func newRequest(ctx context.Context, method string, vm netip.AddrPort, path string, body []byte) *http.Request {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+vm.String()+path, bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	return request
+}
+
+func (c *Client) post(ctx context.Context, wait time.Duration, vm netip.AddrPort, path string, call, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.settings.CallTimeout)
+	defer cancel()
+	body, err := json.Marshal(call)
+	if err != nil {
+		panic(err)
+	}
+	return c.do(newRequest(ctx, http.MethodPost, vm, path, body), answer)
+}
+
+func (c *Client) do(request *http.Request, answer any) error {
+	response, err := c.http.Do(request)
+	if err != nil {
+		return classify(err, request.URL)
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return Fenced.New("%s", request.URL)
+	default:
+		return Refused.New("%s: status %d", request.URL, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(answer); err != nil {
+		return Unanswered.Wrap(err, "%s", request.URL)
+	}
+	return nil
+}
+
+func classify(err error, vm any) error {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return Unreached.Wrap(err, "%s", vm)
+	}
+	return Unanswered.Wrap(err, "%s", vm)
+}
--- /dev/null
+++ b/tanagerfake/tanagerkv/table.go
@@ -0,0 +1,189 @@
+package tanagerkv
+
+import (
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"tanagersail.example/tanager/tanagerstore"
+	"tanagersail.example/tanager/tanagertimer"
+)
+
+// historyLimit is the number of changes that a watch can reach back.
+const historyLimit = 10000
+
+type lease struct {
+	ttl time.Duration
+	due time.Time
+}
+
+// table is the state of the service.
+type table struct {
+	mu        sync.Mutex
+	timer     tanagertimer.Service
+	revision  uint64
+	entries   map[string]tanagerstore.Entry
+	history   []tanagerstore.Entry
+	forgotten uint64
+	leases    map[tanagerstore.LeaseID]*lease
+	nextLease tanagerstore.LeaseID
+	changed   chan struct{}
+}
+
+func newTable(timer tanagertimer.Service) *table {
+	return &table{
+		timer:   timer,
+		entries: make(map[string]tanagerstore.Entry),
+		leases:  make(map[tanagerstore.LeaseID]*lease),
+		changed: make(chan struct{}),
+	}
+}
+
+func (t *table) read(prefix string) tanagerstore.Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.readLocked(prefix)
+}
+
+func (t *table) readLocked(prefix string) tanagerstore.Snapshot {
+	snapshot := tanagerstore.Snapshot{
+		Revision: t.revision,
+	}
+	for key, e := range t.entries {
+		if strings.HasPrefix(key, prefix) {
+			snapshot.Entries = append(snapshot.Entries, e)
+		}
+	}
+	sort.Slice(snapshot.Entries, func(i, j int) bool {
+		return snapshot.Entries[i].Key < snapshot.Entries[j].Key
+	})
+	return snapshot
+}
+
+// swap applies s and reports whether it took effect, with the entry that now
+// stands.
+func (t *table) swap(s tanagerstore.Swap) (tanagerstore.Entry, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	current := t.entries[s.Key]
+	if current.Revision != s.Expected {
+		return current, false
+	}
+	if s.Lease != 0 && t.leases[s.Lease] == nil {
+		return current, false
+	}
+	entry := tanagerstore.Entry{
+		Key:     s.Key,
+		Value:   s.Value,
+		Lease:   s.Lease,
+		Deleted: s.Delete,
+	}
+	return t.put(entry), true
+}
+
+// put stores an entry or a deletion under the next revision.
+func (t *table) put(e tanagerstore.Entry) tanagerstore.Entry {
+	t.revision++
+	e.Revision = t.revision
+	if e.Deleted {
+		delete(t.entries, e.Key)
+	} else {
+		t.entries[e.Key] = e
+	}
+	t.history = append(t.history, e)
+	if len(t.history) > historyLimit {
+		t.forgotten = t.history[0].Revision
+		t.history = t.history[1:]
+	}
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return e
+}
+
+// changes returns what changed below prefix after a revision and a channel
+// that is closed at the next change.
+func (t *table) changes(prefix string, after uint64) (tanagerstore.Snapshot, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if after < t.forgotten || after > t.revision {
+		snapshot := t.readLocked(prefix)
+		snapshot.Reset = true
+		return snapshot, t.changed
+	}
+	snapshot := tanagerstore.Snapshot{
+		Revision: t.revision,
+	}
+	first := sort.Search(len(t.history), func(i int) bool {
+		return t.history[i].Revision > after
+	})
+	for _, e := range t.history[first:] {
+		if strings.HasPrefix(e.Key, prefix) {
+			snapshot.Entries = append(snapshot.Entries, e)
+		}
+	}
+	return snapshot, t.changed
+}
+
+func (t *table) grant(ttl time.Duration) tanagerstore.LeaseID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextLease++
+	t.leases[t.nextLease] = &lease{
+		ttl: ttl,
+		due: t.timer.Now().Add(ttl),
+	}
+	return t.nextLease
+}
+
+func (t *table) renew(id tanagerstore.LeaseID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := t.leases[id]
+	if l == nil {
+		return false
+	}
+	l.due = t.timer.Now().Add(l.ttl)
+	return true
+}
+
+func (t *table) revoke(id tanagerstore.LeaseID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.drop(id)
+}
+
+func (t *table) drop(id tanagerstore.LeaseID) {
+	delete(t.leases, id)
+	for key, e := range t.entries {
+		if e.Lease == id {
+			t.put(tanagerstore.Entry{
+				Key:     key,
+				Deleted: true,
+			})
+		}
+	}
+}
+
+// expire drops the leases that have lapsed.
+func (t *table) expire() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.timer.Now()
+	for id, l := range t.leases {
+		if now.After(l.due) {
+			t.drop(id)
+		}
+	}
+}
+
+// extend gives every lease its full length again, as a service does when it
+// comes back from an outage.
+func (t *table) extend() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.timer.Now()
+	for _, l := range t.leases {
+		l.due = now.Add(l.ttl)
+	}
+}
