Add the daemon, its HTTP interface and the stand-ins of the platform

Cause: the library packages had no process that uses them. Change: tanagerd with one control goroutine over tables, traffic goroutines, peers over WebSocket and CBOR, membership, shard map with epochs, witnesses, request homes and owners, job journals, worker leases, gangs; tanagerfake with store, fleet and relay. Ruled out: idempotent requests sent elsewhere when their owner dies (the first run may go on, so the request would run in two places).

--- a/tanager/tanagerjournal/doc.go
+++ b/tanager/tanagerjournal/doc.go
@@ -14,11 +14,10 @@
 //
 // # Usage
 //
-//	journal := tanagerjournal.New(store, tanagerjournal.Settings{Prefix: "tanager/config", Writer: id, Window: 16})
+//	journal := tanagerjournal.New(store, tanagerjournal.Settings{Prefix: "tanager/config", Writer: id, Window: 16, WindowBytes: 64 << 10})
 //	recovery, err := journal.Load(ctx)
 //	// apply recovery.Snapshot and then recovery.Records
-//	err = journal.Append(ctx, [][]byte{record}, state.Snapshot)
+//	err = journal.Append(ctx, [][]byte{record}, nil)
 //
-// A reader that does not write calls Advance with each head that a watch
-// delivers.
+// A reader that does not write uses a Follower.
 package tanagerjournal
--- a/tanager/tanagerjournal/journal.go
+++ b/tanager/tanagerjournal/journal.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/joomcode/errorx"
 
@@ -49,6 +50,12 @@
 	Sequence uint64
 }
 
+// The keys of a journal are its prefix with one of these.
+const (
+	headSuffix     = "/head"
+	snapshotSuffix = "/snapshot"
+)
+
 type head struct {
 	Writer string `json:"writer"`
 	Write  uint64 `json:"write"`
@@ -83,10 +90,9 @@
 	}
 }
 
-// HeadKey returns the key whose changes a reader has to watch.
-func (j *Journal) HeadKey() string { return j.settings.Prefix + "/head" }
+func (j *Journal) headKey() string { return j.settings.Prefix + headSuffix }
 
-func (j *Journal) snapshotKey() string { return j.settings.Prefix + "/snapshot" }
+func (j *Journal) snapshotKey() string { return j.settings.Prefix + snapshotSuffix }
 
 // Sequence returns the sequence of the last known record.
 func (j *Journal) Sequence() uint64 { return j.head.Sequence }
@@ -102,7 +108,7 @@
 	j.revision = 0
 	for _, e := range read.Entries {
 		switch e.Key {
-		case j.HeadKey():
+		case j.headKey():
 			j.revision = e.Revision
 			err = tanagerwire.Decode(e.Value, &j.head)
 		case j.snapshotKey():
@@ -119,26 +125,6 @@
 	}, nil
 }
 
-// Advance takes a newer head entry from a watch. It returns the records that
-// are new and true, or false if the reader has to call Load because it has
-// missed records that are no longer in the head.
-func (j *Journal) Advance(e tanagerstore.Entry) ([]Record, bool, error) {
-	if e.Revision <= j.revision || e.Deleted {
-		return nil, true, nil
-	}
-	var next head
-	if err := tanagerwire.Decode(e.Value, &next); err != nil {
-		return nil, false, err
-	}
-	if next.Base > j.head.Sequence {
-		return nil, false, nil
-	}
-	records := after(next.Records, j.head.Sequence)
-	j.head = next
-	j.revision = e.Revision
-	return records, true, nil
-}
-
 func after(records []Record, sequence uint64) []Record {
 	for i, r := range records {
 		if r.Sequence > sequence {
@@ -148,19 +134,29 @@
 	return nil
 }
 
-// Append adds records in one write, preceded by a snapshot when the window is
-// full. State returns the state that all records up to Sequence add up to. On
-// error nothing is known to be appended; after Replaced or an Ambiguous store
-// error the journal must be loaded again before the next Append.
-func (j *Journal) Append(ctx context.Context, payloads [][]byte, state func() []byte) error {
+// Full reports whether the head's window has no room for more records of the
+// given size, so that the next Append should carry a snapshot.
+func (j *Journal) Full(bytes int) bool {
+	for _, r := range j.head.Records {
+		bytes += len(r.Payload)
+	}
+	return len(j.head.Records) >= j.settings.Window || bytes > j.settings.WindowBytes
+}
+
+// Append adds records in one write. A snapshot that is not nil must be the
+// state that all records up to Sequence add up to; it is stored first, and the
+// window starts anew. On error nothing is known to be appended; after Replaced
+// or an Ambiguous store error the journal must be loaded again before the next
+// Append.
+func (j *Journal) Append(ctx context.Context, payloads [][]byte, state []byte) error {
 	next := head{
 		Writer:   j.settings.Writer,
 		Sequence: j.head.Sequence,
 		Base:     j.head.Base,
-		Records:  append([]Record(nil), j.head.Records...),
+		Records:  slices.Clone(j.head.Records),
 	}
-	if j.full(payloads) {
-		if err := j.save(ctx, state()); err != nil {
+	if state != nil {
+		if err := j.save(ctx, state); err != nil {
 			return err
 		}
 		next.Base = j.head.Sequence
@@ -176,7 +172,7 @@
 	j.writes++
 	next.Write = j.writes
 	entry, err := j.store.Swap(ctx, tanagerstore.Swap{
-		Key:      j.HeadKey(),
+		Key:      j.headKey(),
 		Value:    tanagerwire.Encode(next),
 		Expected: j.revision,
 	})
@@ -191,20 +187,6 @@
 	return nil
 }
 
-func (j *Journal) full(payloads [][]byte) bool {
-	if len(j.head.Records) == 0 {
-		return false
-	}
-	size := 0
-	for _, r := range j.head.Records {
-		size += len(r.Payload)
-	}
-	for _, p := range payloads {
-		size += len(p)
-	}
-	return len(j.head.Records)+len(payloads) > j.settings.Window || size > j.settings.WindowBytes
-}
-
 // save stores a snapshot of the state up to the current sequence. A snapshot
 // that reaches further is left as it is: its writer has replaced this one.
 func (j *Journal) save(ctx context.Context, state []byte) error {
--- a/tanager/tanagerlease/witness.go
+++ b/tanager/tanagerlease/witness.go
@@ -65,6 +65,10 @@
 	return max(left, 0)
 }
 
+// Readmit ends the refusal of an owner that has joined anew: it has read the
+// map that no longer names it.
+func (w *Witness) Readmit(owner string) { delete(w.denied, owner) }
+
 // Grace collects the promises that this owner received.
 type Grace struct {
 	self     string
--- a/tanager/tanagerpeer/transport.go
+++ b/tanager/tanagerpeer/transport.go
@@ -186,6 +186,14 @@
 	}
 }
 
+// Deliver hands a message of this process to the subscriber and waits while its
+// inbox is full. The subscriber itself must not call it.
+func (t *Transport) Deliver(topic string, m *message.Message) {
+	m.Metadata.Set(TopicKey, topic)
+	m.Metadata.Set(FromKey, t.settings.Self)
+	t.deliver(m)
+}
+
 // TryDeliver hands a message of this process to the subscriber and reports
 // false, without waiting, if the inbox is full.
 func (t *Transport) TryDeliver(topic string, m *message.Message) bool {
--- a/tanager/tanagerplace/fleet.go
+++ b/tanager/tanagerplace/fleet.go
@@ -64,8 +64,11 @@
 	holdings map[string]*Holding
 	open     bool
 	health   health
+	// bucket and position are the row's place in its index, order its place in
+	// the fleet's list.
 	bucket   int
 	position int
+	order    int
 }
 
 func (w *workerRow) free() tanagerresource.Vector { return w.Capacity.Minus(w.held) }
@@ -90,6 +93,7 @@
 type Fleet struct {
 	settings Settings
 	workers  map[string]*workerRow
+	order    []*workerRow
 	domains  []*domain
 	holdings map[string]*Holding
 	spread   map[string]*jobSpread
@@ -125,8 +129,10 @@
 			domain:   d,
 			holdings: make(map[string]*Holding),
 			bucket:   -1,
+			order:    len(f.order),
 		}
 		f.workers[w.Name] = row
+		f.order = append(f.order, row)
 	}
 	f.total = f.total.Minus(row.Capacity).Plus(w.Capacity)
 	row.Worker = w
@@ -158,6 +164,10 @@
 	f.reindex(row)
 	f.total = f.total.Minus(row.Capacity)
 	row.domain.workers--
+	last := f.order[len(f.order)-1]
+	f.order[row.order] = last
+	last.order = row.order
+	f.order = f.order[:len(f.order)-1]
 	delete(f.workers, name)
 }
 
--- a/tanager/tanagerplatform/doc.go
+++ b/tanager/tanagerplatform/doc.go
@@ -17,7 +17,8 @@
 // Each call carries the epoch of the worker's shard. A worker remembers the
 // highest epoch it has seen and answers 409 with it to a lower one; this is
 // what fences an owner that was paused. The task lease runs on the worker's
-// clock: each sync answer holds a lease base, the worker's own reading, and the
+// clock: each sync answer holds a lease base, the worker's own reading, which never
+// goes back, and the
 // next sync extends the lease to that base plus the lease length. A sync that
 // is delivered late therefore cannot extend the lease beyond the length after
 // the owner received its last answer. When the lease lapses the worker stops
--- a/tanager/tanagerqueue/fifo.go
+++ b/tanager/tanagerqueue/fifo.go
@@ -32,3 +32,29 @@
 	f.items = f.items[:last]
 	return item
 }
+
+// trim drops cancelled items from the front.
+func (f *fifo[T]) trim() {
+	for f.len() > 0 && f.front().gone {
+		f.pop()
+	}
+}
+
+// compactSlack is the number of cancelled items that a list may keep beyond the
+// number of live ones.
+const compactSlack = 64
+
+// compact drops all cancelled items once they outnumber the live ones.
+func (f *fifo[T]) compact(live int) {
+	if f.len() <= 2*live+compactSlack {
+		return
+	}
+	kept := make([]*Item[T], 0, live)
+	for _, item := range f.items[f.head:] {
+		if !item.gone {
+			kept = append(kept, item)
+		}
+	}
+	f.items = kept
+	f.head = 0
+}
--- a/tanager/tanagerqueue/queue.go
+++ b/tanager/tanagerqueue/queue.go
@@ -8,17 +8,6 @@
 	"tanagersail.example/tanager/tanagerfailure"
 )
 
-// Class is the urgency of a piece of work.
-type Class uint8
-
-// The classes in the order in which a branch's own work is served.
-const (
-	Urgent Class = iota
-	Normal
-	Batch
-	classes
-)
-
 // Settings of a Queue. All fields are required.
 type Settings struct {
 	// BranchLength bounds the waiting items of one class of one branch.
@@ -63,10 +52,13 @@
 	rules   Branch
 	virtual float64
 	waiting [classes]fifo[T]
-	length  int
-	cost    [classes]time.Duration
-	index   int
-	urgent  int
+	// live counts the items of each class that were not cancelled, length all
+	// of them.
+	live   [classes]int
+	length int
+	cost   [classes]time.Duration
+	index  int
+	urgent int
 }
 
 // Queue is a bounded weighted-fair queue.
@@ -152,7 +144,7 @@
 	if q.length >= q.settings.TotalLength && !q.evict(b) {
 		return q.refuse(tanagerfailure.QueueFull, "the queue is full", wait)
 	}
-	if b.waiting[item.Class].len() >= q.settings.BranchLength {
+	if b.live[item.Class] >= q.settings.BranchLength {
 		return q.refuse(tanagerfailure.QueueFull, "the branch's queue is full", wait)
 	}
 	if now.Add(wait).After(item.Deadline) {
@@ -166,6 +158,16 @@
 	return tanagerfailure.New(code, message).After(q.retryAfter(wait))
 }
 
+// RetryAfter returns the time after which a caller of a branch is to come back,
+// spread at random.
+func (q *Queue[T]) RetryAfter(name string, class Class) time.Duration {
+	b := q.branches[name]
+	if b == nil {
+		return q.retryAfter(0)
+	}
+	return q.retryAfter(q.estimate(b, class))
+}
+
 // retryAfter spreads the return of refused callers over one to two times the
 // estimated wait.
 func (q *Queue[T]) retryAfter(wait time.Duration) time.Duration {
@@ -178,7 +180,7 @@
 func (q *Queue[T]) estimate(b *branch[T], class Class) time.Duration {
 	ahead := 0
 	for c := Urgent; c <= class; c++ {
-		ahead += b.waiting[c].len()
+		ahead += b.live[c]
 	}
 	if ahead == 0 || q.slots == 0 {
 		return 0
@@ -232,6 +234,7 @@
 		q.weight += b.rules.Weight
 	}
 	b.waiting[item.Class].push(item)
+	b.live[item.Class]++
 	b.length++
 	q.length++
 	q.place(b)
@@ -240,24 +243,21 @@
 // place puts a branch into the heaps that its waiting items call for.
 func (q *Queue[T]) place(b *branch[T]) {
 	q.ready.set(b, b.length > 0)
-	q.urgent.set(b, b.waiting[Urgent].len() > 0)
+	q.urgent.set(b, b.live[Urgent] > 0)
 }
 
 // Take returns the next item that was not cancelled.
 func (q *Queue[T]) Take() (*Item[T], bool) {
-	for q.length > 0 {
-		b := q.next()
-		item := b.first()
-		q.remove(b, item.Class)
-		if item.gone {
-			continue
-		}
-		q.virtual = max(q.virtual, b.virtual)
-		b.virtual += item.cost.Seconds() / b.rules.Weight
-		q.place(b)
-		return item, true
+	if q.length == 0 {
+		return nil, false
 	}
-	return nil, false
+	b := q.next()
+	item := b.first()
+	b.waiting[item.Class].pop()
+	q.virtual = max(q.virtual, b.virtual)
+	b.virtual += item.cost.Seconds() / b.rules.Weight
+	q.shrink(b, item.Class)
+	return item, true
 }
 
 // next chooses the branch to serve.
@@ -274,21 +274,20 @@
 	return least
 }
 
+// first returns the front item of the most urgent class that has one.
 func (b *branch[T]) first() *Item[T] {
 	for c := range b.waiting {
-		if b.waiting[c].len() > 0 {
+		if b.live[c] > 0 {
+			b.waiting[c].trim()
 			return b.waiting[c].front()
 		}
 	}
 	panic("tanagerqueue: empty branch in the heap")
 }
 
-func (q *Queue[T]) remove(b *branch[T], class Class) {
-	b.waiting[class].pop()
-	q.shrink(b)
-}
-
-func (q *Queue[T]) shrink(b *branch[T]) {
+// shrink counts one item less.
+func (q *Queue[T]) shrink(b *branch[T], class Class) {
+	b.live[class]--
 	b.length--
 	q.length--
 	if b.length == 0 {
@@ -309,9 +308,14 @@
 // costSmoothing is the number of items over which the expected cost adapts.
 const costSmoothing = 16
 
-// Cancel marks a waiting item as gone. It takes constant time; the item leaves
-// the queue when it comes to its front.
-func (q *Queue[T]) Cancel(item *Item[T]) { item.gone = true }
+// Cancel removes a waiting item in constant time on average. The item must be
+// waiting.
+func (q *Queue[T]) Cancel(item *Item[T]) {
+	item.gone = true
+	b := q.branches[item.Branch]
+	q.shrink(b, item.Class)
+	b.waiting[item.Class].compact(b.live[item.Class])
+}
 
 // Expire removes items whose deadline has passed from the front of each queue
 // and hands them to f.
@@ -324,29 +328,30 @@
 }
 
 func (q *Queue[T]) expireClass(b *branch[T], c Class, now time.Time, f func(*Item[T])) {
-	for b.waiting[c].len() > 0 {
+	for b.live[c] > 0 {
+		b.waiting[c].trim()
 		item := b.waiting[c].front()
-		if !item.gone && now.Before(item.Deadline) {
+		if now.Before(item.Deadline) {
 			return
 		}
-		q.remove(b, c)
-		if !item.gone {
-			f(item)
-		}
+		b.waiting[c].pop()
+		q.shrink(b, c)
+		f(item)
 	}
 }
 
+// dropYoungest evicts the youngest item of the least urgent class.
 func (q *Queue[T]) dropYoungest(b *branch[T]) {
-	for c := len(b.waiting) - 1; c >= 0; c-- {
-		if b.waiting[c].len() == 0 {
+	for c := classes - 1; ; c-- {
+		if b.live[c] == 0 {
 			continue
 		}
 		item := b.waiting[c].popBack()
-		q.shrink(b)
-		if !item.gone {
-			item.gone = true
-			q.evicted = append(q.evicted, item)
+		for item.gone {
+			item = b.waiting[c].popBack()
 		}
+		q.shrink(b, c)
+		q.evicted = append(q.evicted, item)
 		return
 	}
 }
--- a/tanager/tanagershard/doc.go
+++ b/tanager/tanagershard/doc.go
@@ -15,7 +15,7 @@
 //
 // # Usage
 //
-//	next, changed := current.TakeOver(live)
+//	next, changed := current.TakeOver(present, takers)
 //	if changed {
 //		entry, err := store.Swap(ctx, tanagerstore.Swap{Key: tanagershard.Key, Value: tanagerwire.Encode(next), Expected: revision})
 //	}
--- a/tanager/tanagershard/map.go
+++ b/tanager/tanagershard/map.go
@@ -68,27 +68,28 @@
 	return owned
 }
 
+// clone copies the parts that the other methods change.
 func (m Map) clone() Map {
 	m.Shards = slices.Clone(m.Shards)
 	m.Roster.Members = slices.Clone(m.Roster.Members)
 	return m
 }
 
-// TakeOver returns the map in which the shards of owners that are not live
-// belong to the live daemons with the fewest shards, and whether that is a
-// change. It returns the map unchanged if nobody is live.
-func (m Map) TakeOver(live []string) (Map, bool) {
-	if len(live) == 0 {
+// TakeOver returns the map in which the shards of owners that are not present
+// belong to the takers with the fewest shards, and whether that is a change. It
+// returns the map unchanged if there are no takers.
+func (m Map) TakeOver(present, takers []string) (Map, bool) {
+	if len(takers) == 0 {
 		return m, false
 	}
 	next := m.clone()
-	counts := next.counts(live)
+	counts := next.counts(takers)
 	changed := false
 	for i, a := range next.Shards {
-		if _, ok := counts[a.Owner]; ok {
+		if slices.Contains(present, a.Owner) {
 			continue
 		}
-		to := fewest(live, counts)
+		to := fewest(takers, counts)
 		next.Shards[i] = Assignment{
 			Owner:       to,
 			Epoch:       a.Epoch + 1,
@@ -147,15 +148,16 @@
 }
 
 // Surplus returns shards that owner should hand over, with their receivers, so
-// that no two live daemons differ by more than one shard. The result has at
-// most limit moves.
+// that no two live daemons differ by more than one shard. An owner that is not
+// itself live gives all its shards away. The result has at most limit moves.
 func (m Map) Surplus(owner string, live []string, limit int) []Move {
 	counts := m.counts(live)
 	owned := m.Owned(owner)
+	staying := slices.Contains(live, owner)
 	var moves []Move
-	for len(moves) < limit {
+	for len(moves) < min(limit, len(owned)) {
 		to := fewest(live, counts)
-		if to == "" || counts[owner]-counts[to] < 2 {
+		if to == "" || staying && counts[owner]-counts[to] < 2 {
 			return moves
 		}
 		moves = append(moves, Move{
--- a/tanager/tanagershare/backlog.go
+++ b/tanager/tanagershare/backlog.go
@@ -171,6 +171,12 @@
 	}
 }
 
+// Boosted reports whether an entry that is being placed goes before others
+// because it is urgent and inside its branch's urgent share.
+func (b *Backlog[T]) Boosted(e *Entry[T]) bool {
+	return e.Class == tanagerqueue.Urgent && b.row(e.Branch).boosted
+}
+
 // start fills the heap with the branches that have tasks waiting.
 func (b *Backlog[T]) start() {
 	b.ready.rows = b.ready.rows[:0]
--- /dev/null
+++ b/tanagerd/main.go
@@ -0,0 +1,47 @@
+// Command tanagerd is the daemon that runs on entry VMs: it serves callers and
+// operators, owns shards of workers and targets, and decides what runs where.
+//
+// # Usage
+//
+//	tanagerd run --settings tanagerd.yaml
+//	tanagerd check-settings tanagerd.yaml
+//
+// SIGTERM stops the daemon: it says that it is not ready, hands its shards over,
+// answers every request in flight and ends. SIGINT does the same.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"tanagersail.example/tanagerd/tanagersettings"
+)
+
+func main() {
+	app := kingpin.New("tanagerd", "Daemon of the tanagersail cluster scheduler.")
+	app.HelpFlag.Short('h')
+	run := app.Command("run", "Run the daemon until SIGTERM.").Default()
+	path := run.Flag("settings", "Settings file.").Required().ExistingFile()
+	check := app.Command("check-settings", "Check a settings file and say what is wrong in it.")
+	checked := check.Arg("file", "Settings file.").Required().String()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case run.FullCommand():
+		settings, err := tanagersettings.Load(*path)
+		exitOn(err)
+		exitOn(serve(settings))
+	case check.FullCommand():
+		_, err := tanagersettings.Load(*checked)
+		exitOn(err)
+		fmt.Println("the settings are valid")
+	}
+}
+
+func exitOn(err error) {
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "tanagerd:", err)
+	os.Exit(1)
+}
--- /dev/null
+++ b/tanagerd/tanagercontrol/gossip.go
@@ -0,0 +1,105 @@
+package tanagercontrol
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"tanagersail.example/tanager/tanagerresource"
+	"tanagersail.example/tanager/tanagerstore"
+	"tanagersail.example/tanagerd/tanagermessage"
+)
+
+// hint is what a peer last told of its load.
+type hint struct {
+	received time.Time
+	services map[string]serviceHint
+	free     tanagerresource.Vector
+	total    tanagerresource.Vector
+	branches []tanagermessage.BranchUse
+	draining bool
+}
+
+// serviceHint is the load of a service at a peer, less what was sent there
+// since.
+type serviceHint struct {
+	free   int
+	queued int
+	slots  int
+}
+
+// gossip tells some peers how far and how loaded this daemon is.
+func (c *Control) gossip(now time.Time) {
+	c.checkDrained()
+	g := c.ownGossip()
+	c.gossiped(c.self, g, now)
+	for _, to := range c.gossipTargets() {
+		c.send(to, tanagermessage.TopicGossip, g)
+	}
+}
+
+func (c *Control) ownGossip() tanagermessage.Gossip {
+	return tanagermessage.Gossip{
+		MapRevision:    c.mapRevision,
+		ConfigRevision: c.follower.Sequence(),
+		Services:       c.serviceHints(),
+		Free:           c.workers.freeResources(),
+		Total:          c.workers.fleet.Total(),
+		Branches:       c.branchUse(),
+		Draining:       c.draining,
+	}
+}
+
+// gossipTargets returns the peers to tell: all of them in a small cell, a
+// random part in a large one.
+func (c *Control) gossipTargets() []string {
+	ids := slices.Sorted(maps.Keys(c.members))
+	ids = slices.DeleteFunc(ids, func(id string) bool { return id == c.self })
+	c.Random.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids[:min(len(ids), gossipPeers)]
+}
+
+// gossiped takes a peer's load and sends it what it lacks.
+func (c *Control) gossiped(from string, m tanagermessage.Gossip, now time.Time) {
+	h := hint{
+		received: now,
+		services: make(map[string]serviceHint, len(m.Services)),
+		free:     m.Free,
+		total:    m.Total,
+		branches: m.Branches,
+		draining: m.Draining,
+	}
+	for _, s := range m.Services {
+		h.services[s.Service] = serviceHint{
+			free:   s.Free,
+			queued: s.Queued,
+			slots:  s.Slots,
+		}
+	}
+	c.hints[from] = h
+	c.ownerReached(from)
+	c.relay(from, m)
+}
+
+// relay sends a peer the newer map and configuration, so that a daemon that is
+// cut off from the store alone still learns of them.
+func (c *Control) relay(to string, m tanagermessage.Gossip) {
+	var entries []tanagerstore.Entry
+	if m.MapRevision < c.mapRevision {
+		entries = append(entries, c.mapEntry)
+	}
+	if m.ConfigRevision < c.follower.Sequence() {
+		entries = append(entries, c.follower.Entries()...)
+	}
+	if len(entries) > 0 {
+		c.send(to, tanagermessage.TopicEntries, tanagermessage.Entries{
+			Entries: entries,
+		})
+	}
+}
+
+func (c *Control) entriesRelayed(_ string, m tanagermessage.Entries, now time.Time) {
+	for _, e := range m.Entries {
+		c.adopt(e, now)
+	}
+}
--- /dev/null
+++ b/tanagerd/tanagercontrol/owner.go
@@ -0,0 +1,396 @@
+package tanagercontrol
+
+import (
+	"slices"
+	"time"
+
+	"tanagersail.example/tanager/tanagerfailure"
+	"tanagersail.example/tanager/tanagerplatform"
+	"tanagersail.example/tanager/tanagerqueue"
+	"tanagersail.example/tanagerd/tanagermessage"
+)
+
+// ownerTables hold the requests that this daemon serves as an owner of targets.
+type ownerTables struct {
+	services map[string]*serviceRow
+	requests map[string]*ownedRequest
+	// ended lists answered requests in the order in which they are forgotten.
+	ended []*ownedRequest
+	live  int
+	// budget is the number of runs that may be repeated.
+	budget float64
+	// running counts the runs at targets by branch.
+	running map[string]int
+}
+
+// serviceRow is the table row of one service.
+type serviceRow struct {
+	name  string
+	queue *tanagerqueue.Queue[*ownedRequest]
+}
+
+// ownedRequest is the table row of one request.
+type ownedRequest struct {
+	spec   tanagermessage.RequestSpec
+	home   string
+	try    int
+	queued bool
+	// attempted is set once a run went unanswered.
+	attempted bool
+	item      *tanagerqueue.Item[*ownedRequest]
+	arrived   time.Time
+	deadline  time.Time
+	target    *targetRow
+	started   time.Time
+	answer    *tanagermessage.RequestAnswer
+	forgetAt  time.Time
+}
+
+func newOwnerTables() *ownerTables {
+	return &ownerTables{
+		services: make(map[string]*serviceRow),
+		requests: make(map[string]*ownedRequest),
+		budget:   retryBudgetLimit,
+		running:  make(map[string]int),
+	}
+}
+
+// open returns the number of requests without an answer.
+func (o *ownerTables) open() int { return o.live }
+
+// service returns the row of a service, adding it if there is none.
+func (o *ownerTables) service(c *Control, name string) *serviceRow {
+	s := o.services[name]
+	if s == nil {
+		s = &serviceRow{
+			name:  name,
+			queue: tanagerqueue.New[*ownedRequest](c.settings.Queue, c.Random),
+		}
+		o.services[name] = s
+		c.applyQueueRules(s)
+	}
+	return s
+}
+
+// requestPlaced takes a request from its home. A request that is known already
+// is not run again: its home gets the first answer.
+func (c *Control) requestPlaced(from string, m tanagermessage.RequestPlace, now time.Time) {
+	if r := c.owned.requests[m.Spec.ID]; r != nil {
+		r.home = from
+		r.try = m.Try
+		if r.answer != nil {
+			c.sendAnswer(r)
+		}
+		return
+	}
+	r := &ownedRequest{
+		spec:     m.Spec,
+		home:     from,
+		try:      m.Try,
+		arrived:  now,
+		deadline: now.Add(m.Spec.Timeout),
+	}
+	c.owned.requests[m.Spec.ID] = r
+	c.owned.live++
+	c.owned.budget = min(c.owned.budget+retryBudgetPart, retryBudgetLimit)
+	if failure := c.admit(r, now); failure != nil {
+		c.answerOwned(r, tanagermessage.RequestAnswer{
+			Failure: failure,
+		}, now)
+	}
+}
+
+// admit puts a request into the queue of its service.
+func (c *Control) admit(r *ownedRequest, now time.Time) *tanagerfailure.Failure {
+	if !c.mayAct(now) || !c.ownsService(r.spec.Service) {
+		return tanagerfailure.New(tanagerfailure.NoOwner, "this daemon may not use targets of "+r.spec.Service).After(c.settings.Queue.RetryFloor)
+	}
+	r.item = &tanagerqueue.Item[*ownedRequest]{
+		Branch:   r.spec.Branch,
+		Class:    r.spec.Class,
+		Deadline: r.deadline,
+		Value:    r,
+	}
+	service := c.owned.service(c, r.spec.Service)
+	failure := service.queue.Offer(r.item, now)
+	r.queued = failure == nil
+	c.answerEvicted(service, now)
+	return failure
+}
+
+func (c *Control) answerEvicted(s *serviceRow, now time.Time) {
+	for _, item := range s.queue.Evicted() {
+		c.answerOwned(item.Value, tanagermessage.RequestAnswer{
+			Failure: s.queue.EvictedFailure(),
+		}, now)
+	}
+}
+
+func (c *Control) ownsService(service string) bool {
+	for _, t := range c.fleet.targets {
+		if t.vm.Service == service && c.releasing[t.shard] == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// answerOwned ends a request and tells its home.
+func (c *Control) answerOwned(r *ownedRequest, answer tanagermessage.RequestAnswer, now time.Time) {
+	if r.answer != nil {
+		return
+	}
+	answer.ID = r.spec.ID
+	if r.attempted && answer.Failure != nil && answer.Failure.Outcome == tanagerfailure.NotRun {
+		// An earlier run went unanswered, so "not run" would be a guess.
+		answer.Failure = tanagerfailure.New(tanagerfailure.OutcomeUnknown, answer.Failure.Message)
+	}
+	r.answer = &answer
+	r.queued = false
+	r.spec.Body = nil
+	r.forgetAt = now.Add(c.settings.RequestWindow)
+	c.owned.live--
+	c.owned.ended = append(c.owned.ended, r)
+	c.sendAnswer(r)
+}
+
+func (c *Control) sendAnswer(r *ownedRequest) {
+	answer := *r.answer
+	answer.Try = r.try
+	c.send(r.home, tanagermessage.TopicRequestAnswer, answer)
+}
+
+// dispatchTargets gives waiting requests to free slots.
+func (c *Control) dispatchTargets(now time.Time) {
+	if !c.mayAct(now) {
+		return
+	}
+	for _, s := range c.owned.services {
+		c.dispatchService(s, now)
+	}
+}
+
+func (c *Control) dispatchService(s *serviceRow, now time.Time) {
+	for s.queue.Len() > 0 {
+		t := c.freest(s.name, now)
+		if t == nil {
+			return
+		}
+		item, ok := s.queue.Take()
+		if !ok {
+			return
+		}
+		r := item.Value
+		if !now.Before(r.deadline) {
+			c.expireOwned(s, r, now)
+			continue
+		}
+		c.runAt(r, t, now)
+	}
+}
+
+// freest returns the target of a service with the most free slots, or nil.
+func (c *Control) freest(service string, now time.Time) *targetRow {
+	var chosen *targetRow
+	most := 0
+	for _, t := range c.fleet.targets {
+		if t.vm.Service != service || c.releasing[t.shard] != "" {
+			continue
+		}
+		if free := t.free(now); free > most {
+			chosen, most = t, free
+		}
+	}
+	return chosen
+}
+
+func (c *Control) runAt(r *ownedRequest, t *targetRow, now time.Time) {
+	t.inFlight++
+	c.owned.running[r.spec.Branch]++
+	r.queued = false
+	r.target = t
+	r.started = now
+	c.Effects.Run(RunOrder{
+		Target:  t.vm.Name,
+		Address: t.vm.Address,
+		Call: tanagerplatform.RunCall{
+			ID:         r.spec.ID,
+			Idempotent: r.spec.Idempotent,
+			Path:       r.spec.Path,
+			Body:       r.spec.Body,
+		},
+		Timeout: r.deadline.Sub(now),
+	})
+}
+
+// requestRan takes the end of a run at a target.
+func (c *Control) requestRan(_ string, m tanagermessage.RequestRan, now time.Time) {
+	r := c.owned.requests[m.ID]
+	if r == nil || r.target == nil {
+		return
+	}
+	t := r.target
+	r.target = nil
+	t.inFlight--
+	c.owned.running[r.spec.Branch]--
+	service := c.owned.service(c, r.spec.Service)
+	service.queue.Finish(r.item, m.Ran)
+	answer := tanagermessage.RequestAnswer{
+		Status: m.Status,
+		Body:   m.Body,
+		Queued: r.started.Sub(r.arrived),
+		Ran:    m.Ran,
+		Target: m.Target,
+	}
+	switch m.End {
+	case tanagermessage.RunUnreached:
+		t.suspect = now.Add(suspectTime)
+		answer.Failure = tanagerfailure.New(tanagerfailure.NoTarget, "target "+m.Target+" could not be reached").After(c.settings.Queue.RetryFloor)
+	case tanagermessage.RunUnanswered:
+		// The request may still occupy its slot.
+		t.counted = false
+		if c.awaitEnd(r, t, now) {
+			return
+		}
+		answer.Failure = tanagerfailure.New(tanagerfailure.OutcomeUnknown, "target "+m.Target+" did not answer")
+	case tanagermessage.RunAnswered:
+		if m.Status >= 500 {
+			answer.Failure = tanagerfailure.New(tanagerfailure.TargetFailed, "target "+m.Target+" answered with an error")
+		}
+	}
+	c.answerOwned(r, answer, now)
+}
+
+// awaitEnd keeps an idempotent request whose run went unanswered until its
+// target is known to run nothing, and reports whether it did. Only then may the
+// request run again, or it would run in two places at once.
+func (c *Control) awaitEnd(r *ownedRequest, t *targetRow, now time.Time) bool {
+	if !r.spec.Idempotent || !now.Before(r.deadline) || c.owned.budget < 1 {
+		return false
+	}
+	r.attempted = true
+	c.owned.budget--
+	c.counters.retries++
+	t.ending = append(t.ending, r)
+	return true
+}
+
+// runsEnded admits the requests again that waited for their target to be idle.
+func (c *Control) runsEnded(t *targetRow, now time.Time) {
+	waiting := t.ending
+	t.ending = nil
+	for _, r := range waiting {
+		if r.answer != nil {
+			continue
+		}
+		if failure := c.admit(r, now); failure != nil {
+			c.answerOwned(r, unknownAnswer("the request could not be run again: "+failure.Message), now)
+		}
+	}
+}
+
+// expireEnding answers the requests whose target was not known to be idle in
+// time.
+func (c *Control) expireEnding(t *targetRow, now time.Time) {
+	t.ending = slices.DeleteFunc(t.ending, func(r *ownedRequest) bool {
+		if r.answer == nil && now.Before(r.deadline) {
+			return false
+		}
+		c.answerOwned(r, unknownAnswer("the target did not answer"), now)
+		return true
+	})
+}
+
+// abandonEnding answers the requests that wait for a target which this daemon
+// owns no longer.
+func (c *Control) abandonEnding(t *targetRow, now time.Time) {
+	for _, r := range t.ending {
+		c.answerOwned(r, unknownAnswer("the target has moved to another daemon"), now)
+	}
+	t.ending = nil
+}
+
+// requestCancelled drops a waiting request that nobody waits for. One that runs
+// goes on to its end.
+func (c *Control) requestCancelled(_ string, m tanagermessage.RequestCancel, now time.Time) {
+	r := c.owned.requests[m.ID]
+	if r == nil || r.answer != nil || !r.queued {
+		return
+	}
+	r.queued = false
+	c.owned.service(c, r.spec.Service).queue.Cancel(r.item)
+	c.answerOwned(r, tanagermessage.RequestAnswer{
+		Failure: tanagerfailure.New(tanagerfailure.Cancelled, "the caller went away before the request ran"),
+	}, now)
+}
+
+// sweepOwned answers waiting requests whose deadline has passed and forgets old
+// answers.
+func (c *Control) sweepOwned(now time.Time) {
+	for _, s := range c.owned.services {
+		s.queue.Expire(now, func(item *tanagerqueue.Item[*ownedRequest]) {
+			c.expireOwned(s, item.Value, now)
+		})
+		s.queue.SetSlots(c.slots(s.name))
+	}
+	for _, t := range c.fleet.targets {
+		c.expireEnding(t, now)
+	}
+	for len(c.owned.ended) > 0 && !now.Before(c.owned.ended[0].forgetAt) {
+		delete(c.owned.requests, c.owned.ended[0].spec.ID)
+		c.owned.ended = c.owned.ended[1:]
+	}
+}
+
+func (c *Control) expireOwned(s *serviceRow, r *ownedRequest, now time.Time) {
+	c.answerOwned(r, tanagermessage.RequestAnswer{
+		Failure: tanagerfailure.New(tanagerfailure.DeadlinePassed, "the deadline passed while the request waited").After(s.queue.RetryAfter(r.spec.Branch, r.spec.Class)),
+		Queued:  now.Sub(r.arrived),
+	}, now)
+}
+
+func (c *Control) slots(service string) int {
+	n := 0
+	for _, t := range c.fleet.targets {
+		if t.vm.Service == service && t.vm.State == tanagerplatform.Live && !t.gated {
+			n += t.vm.Slots - t.ghosts
+		}
+	}
+	return n
+}
+
+// returnOrphans sends waiting requests back to their homes when this daemon has
+// no target left that could run them.
+func (o *ownerTables) returnOrphans(c *Control, now time.Time) {
+	for _, s := range o.services {
+		if c.ownsService(s.name) {
+			continue
+		}
+		for item, ok := s.queue.Take(); ok; item, ok = s.queue.Take() {
+			c.answerOwned(item.Value, tanagermessage.RequestAnswer{
+				Failure: tanagerfailure.New(tanagerfailure.NoOwner, "the service's targets have moved to another daemon").After(c.settings.Queue.RetryFloor),
+			}, now)
+		}
+	}
+}
+
+// serviceHints returns the load of this daemon's services.
+func (c *Control) serviceHints() []tanagermessage.ServiceHint {
+	now := c.Timer.Now()
+	free := make(map[string]int)
+	slots := make(map[string]int)
+	for _, t := range c.fleet.targets {
+		free[t.vm.Service] += max(t.free(now), 0)
+		slots[t.vm.Service] += t.vm.Slots
+	}
+	var hints []tanagermessage.ServiceHint
+	for name, n := range slots {
+		hints = append(hints, tanagermessage.ServiceHint{
+			Service: name,
+			Slots:   n,
+			Free:    free[name],
+			Queued:  c.owned.services[name].queue.Len(),
+		})
+	}
+	return hints
+}
--- /dev/null
+++ b/tanagerd/tanagercontrol/status.go
@@ -0,0 +1,241 @@
+package tanagercontrol
+
+import (
+	"time"
+
+	"tanagersail.example/tanager/tanagerburn"
+	"tanagersail.example/tanager/tanagerfailure"
+	"tanagersail.example/tanager/tanagerjob"
+	"tanagersail.example/tanager/tanagerplan"
+	"tanagersail.example/tanager/tanagerresource"
+	"tanagersail.example/tanagerd/tanagermessage"
+)
+
+// counters count events since the start of the daemon.
+type counters struct {
+	requestsDone  uint64
+	requestsOther map[tanagerfailure.Code]uint64
+	retries       uint64
+	tasksStarted  uint64
+	tasksEnded    uint64
+	takeOvers     uint64
+	handOvers     uint64
+	shardsGained  uint64
+	workersLost   uint64
+	isolated      uint64
+	relieved      uint64
+	fenced        uint64
+}
+
+// Status is the state of a daemon.
+type Status struct {
+	Self           string                  `json:"self"`
+	FailureDomain  string                  `json:"failure_domain"`
+	Region         string                  `json:"region"`
+	Uptime         time.Duration           `json:"uptime"`
+	ConfigRevision uint64                  `json:"config_revision"`
+	MapRevision    uint64                  `json:"map_revision"`
+	Members        []tanagermessage.Member `json:"members"`
+	Roster         []string                `json:"roster"`
+	// StoreRight and Grace tell by which right the daemon acts.
+	StoreRight bool          `json:"store_right"`
+	Grace      bool          `json:"grace"`
+	Draining   bool          `json:"draining"`
+	Shards     []ShardStatus `json:"shards"`
+	Targets    int           `json:"targets"`
+	// TargetSlots are the slots of those targets, GatedTargets the targets that
+	// are held back until an earlier owner's end is confirmed.
+	TargetSlots    int                    `json:"target_slots"`
+	GatedTargets   int                    `json:"gated_targets"`
+	InFlight       int                    `json:"in_flight"`
+	QueuedRequests int                    `json:"queued_requests"`
+	Workers        int                    `json:"workers"`
+	KnownWorkers   int                    `json:"known_workers"`
+	Total          tanagerresource.Vector `json:"total"`
+	Held           tanagerresource.Vector `json:"held"`
+	Tasks          int                    `json:"tasks"`
+	WaitingOffers  int                    `json:"waiting_offers"`
+	Jobs           int                    `json:"jobs"`
+	Recovering     int                    `json:"recovering"`
+	Counters       Counters               `json:"counters"`
+}
+
+// ShardStatus is a shard that the daemon owns.
+type ShardStatus struct {
+	Shard       int      `json:"shard"`
+	Epoch       uint64   `json:"epoch"`
+	Unconfirmed []string `json:"unconfirmed,omitempty"`
+}
+
+// Counters are the daemon's counts since its start.
+type Counters struct {
+	RequestsDone  uint64                         `json:"requests_done"`
+	RequestsOther map[tanagerfailure.Code]uint64 `json:"requests_other"`
+	Retries       uint64                         `json:"retries"`
+	TasksStarted  uint64                         `json:"tasks_started"`
+	TasksEnded    uint64                         `json:"tasks_ended"`
+	TakeOvers     uint64                         `json:"take_overs"`
+	HandOvers     uint64                         `json:"hand_overs"`
+	ShardsGained  uint64                         `json:"shards_gained"`
+	WorkersLost   uint64                         `json:"workers_lost"`
+	Isolated      uint64                         `json:"workers_isolated"`
+	Relieved      uint64                         `json:"tasks_relieved"`
+	Fenced        uint64                         `json:"workers_fenced"`
+}
+
+// statusWanted answers a goroutine that asks for the daemon's state.
+func (c *Control) statusWanted(_ string, m tanagermessage.StatusWanted, now time.Time) {
+	c.Effects.Answer(m.Waiter, c.status(now))
+}
+
+func (c *Control) status(now time.Time) Status {
+	s := Status{
+		Self:           c.self,
+		FailureDomain:  c.settings.Self.FailureDomain,
+		Region:         c.settings.Self.Region,
+		Uptime:         now.Sub(c.start),
+		ConfigRevision: c.config.Revision,
+		MapRevision:    c.mapRevision,
+		Roster:         c.shardMap.Roster.Members,
+		StoreRight:     c.right.Holds(now),
+		Grace:          c.grace.Holds(now),
+		Draining:       c.draining,
+		Workers:        len(c.workers.rows),
+		Total:          c.workers.fleet.Total(),
+		Held:           c.workers.fleet.Held(),
+		Tasks:          len(c.workers.tasks),
+		WaitingOffers:  len(c.workers.offers.rows),
+		Counters:       c.counted(),
+	}
+	for _, m := range c.members {
+		s.Members = append(s.Members, m)
+	}
+	for _, shard := range c.shardMap.Owned(c.self) {
+		a := c.shardMap.Shards[shard]
+		s.Shards = append(s.Shards, ShardStatus{
+			Shard:       int(shard),
+			Epoch:       a.Epoch,
+			Unconfirmed: a.Unconfirmed,
+		})
+	}
+	c.countTargets(&s)
+	for _, row := range c.workers.rows {
+		if row.state == workerKnown {
+			s.KnownWorkers++
+		}
+	}
+	for _, js := range c.jobs.shards {
+		s.Jobs += len(js.table.Jobs())
+		if !js.loaded || len(js.missing) > 0 {
+			s.Recovering++
+		}
+	}
+	return s
+}
+
+func (c *Control) countTargets(s *Status) {
+	for _, t := range c.fleet.targets {
+		s.Targets++
+		s.TargetSlots += t.vm.Slots
+		s.InFlight += t.inFlight
+		if t.gated {
+			s.GatedTargets++
+		}
+	}
+	for _, service := range c.owned.services {
+		s.QueuedRequests += service.queue.Len()
+	}
+}
+
+func (c *Control) counted() Counters {
+	k := c.counters
+	other := make(map[tanagerfailure.Code]uint64, len(k.requestsOther))
+	for code, n := range k.requestsOther {
+		other[code] = n
+	}
+	return Counters{
+		RequestsDone:  k.requestsDone,
+		RequestsOther: other,
+		Retries:       k.retries,
+		TasksStarted:  k.tasksStarted,
+		TasksEnded:    k.tasksEnded,
+		TakeOvers:     k.takeOvers,
+		HandOvers:     k.handOvers,
+		ShardsGained:  k.shardsGained,
+		WorkersLost:   k.workersLost,
+		Isolated:      k.isolated,
+		Relieved:      k.relieved,
+		Fenced:        k.fenced,
+	}
+}
+
+// record counts the end of a request for the report.
+func (c *Control) record(row *homeRequest, answer tanagermessage.RequestAnswer, now time.Time) {
+	known := answer.Failure == nil || answer.Failure.Outcome == tanagerfailure.Failed
+	if known {
+		c.counters.requestsDone++
+	} else {
+		if c.counters.requestsOther == nil {
+			c.counters.requestsOther = make(map[tanagerfailure.Code]uint64)
+		}
+		c.counters.requestsOther[answer.Failure.Code]++
+	}
+	wait := max(now.Sub(row.arrived)-answer.Ran, 0)
+	c.Burn.Observe(tanagerburn.Key{
+		Branch: row.spec.Branch,
+		Class:  row.spec.Class.String(),
+	}, wait, known, c.Wall())
+}
+
+// recordTask counts the first start of a task for the report.
+func (c *Control) recordTask(j *tanagerjob.Job, t *tanagerjob.Task) {
+	c.Burn.Observe(tanagerburn.Key{
+		Branch: j.Branch,
+		Class:  j.Spec.Class.String(),
+	}, t.Waited, true, c.Wall())
+}
+
+// branchUse returns what each branch holds and waits for at this daemon.
+func (c *Control) branchUse() []tanagermessage.BranchUse {
+	if !c.mapped() {
+		return nil
+	}
+	var uses []tanagermessage.BranchUse
+	for _, name := range c.config.BranchNames() {
+		use := tanagermessage.BranchUse{
+			Branch:  name,
+			Held:    c.workers.offers.backlog.Held(name),
+			Waiting: c.waitingTasks(name),
+			Slots:   c.owned.running[name],
+		}
+		for _, s := range c.owned.services {
+			use.Queued += s.queue.Waiting(name)
+		}
+		if !use.Held.IsZero() || use.Waiting > 0 || use.Slots > 0 || use.Queued > 0 {
+			uses = append(uses, use)
+		}
+	}
+	return uses
+}
+
+// waitingTasks returns the number of a branch's tasks that wait at this daemon
+// as the branch's owner.
+func (c *Control) waitingTasks(branch string) int {
+	js := c.jobs.shards[c.shardMap.Of(branch)]
+	if js == nil {
+		return 0
+	}
+	n := 0
+	for key, l := range js.queue.lanes {
+		if key.branch == branch {
+			n += len(l.ready) + len(l.held)
+		}
+	}
+	return n
+}
+
+// PlanAnswer answers a PlanWanted.
+type PlanAnswer struct {
+	Plan    tanagerplan.Plan
+	Failure *tanagerfailure.Failure
+}
--- /dev/null
+++ b/tanagerfake/main.go
@@ -0,0 +1,103 @@
+// Command tanagerfake runs small stand-ins of the platform for tests and
+// demonstrations: the key-value service, the fleet of VMs with their list, and
+// relays that can cut a connection.
+//
+// # Usage
+//
+//	tanagerfake store --address 127.0.0.1:7001
+//	tanagerfake fleet --address 127.0.0.1:7002 --file fleet.yaml
+//	tanagerfake relay --address 127.0.0.1:7003 --to 127.0.0.1:7101
+//
+// Packages tanagerkv and tanagerfleet document the protocols and the faults
+// that can be ordered.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/goccy/go-yaml"
+
+	"tanagersail.example/tanager/tanagertimer"
+	"tanagersail.example/tanagerfake/tanagerfleet"
+	"tanagersail.example/tanagerfake/tanagerkv"
+	"tanagersail.example/tanagerfake/tanagerrelay"
+)
+
+func main() {
+	app := kingpin.New("tanagerfake", "Stand-ins of the platform, for tests and demonstrations.")
+	app.HelpFlag.Short('h')
+	store := app.Command("store", "Run the key-value service.")
+	storeAddress := store.Flag("address", "Address to listen on.").Required().String()
+	fleet := app.Command("fleet", "Run the VMs and their list.")
+	fleetAddress := fleet.Flag("address", "Address of the list and the control of faults.").Required().String()
+	fleetFile := fleet.Flag("file", "YAML file that describes the VMs.").Required().ExistingFile()
+	relay := app.Command("relay", "Pass TCP connections on until told to cut them.")
+	relayAddress := relay.Flag("address", "Address to listen on.").Required().String()
+	relayTo := relay.Flag("to", "Address to pass connections to.").Required().String()
+	relayControl := relay.Flag("control", "Address of the control of faults.").Required().String()
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	switch command {
+	case store.FullCommand():
+		server := tanagerkv.New(tanagertimer.NewReal())
+		go server.Run(ctx)
+		serve(ctx, *storeAddress, server.Handler())
+	case fleet.FullCommand():
+		f, err := tanagerfleet.New(readFleet(*fleetFile), tanagertimer.NewReal())
+		exitOn(err)
+		go f.Run(ctx)
+		serve(ctx, *fleetAddress, f.Handler())
+	case relay.FullCommand():
+		to, err := netip.ParseAddrPort(*relayTo)
+		exitOn(err)
+		r := tanagerrelay.New(to)
+		listener, err := net.Listen("tcp", *relayAddress)
+		exitOn(err)
+		go r.Run(ctx, listener)
+		serve(ctx, *relayControl, r.Handler())
+	}
+}
+
+func readFleet(path string) tanagerfleet.Settings {
+	content, err := os.ReadFile(path)
+	exitOn(err)
+	settings := tanagerfleet.Settings{
+		Address: netip.MustParseAddr("127.0.0.1"),
+	}
+	exitOn(yaml.UnmarshalWithOptions(content, &settings, yaml.Strict()))
+	return settings
+}
+
+func serve(ctx context.Context, address string, handler http.Handler) {
+	server := &http.Server{
+		Addr:              address,
+		Handler:           handler,
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+	go func() {
+		<-ctx.Done()
+		_ = server.Close()
+	}()
+	if err := server.ListenAndServe(); err != http.ErrServerClosed {
+		exitOn(err)
+	}
+}
+
+func exitOn(err error) {
+	if err == nil {
+		return
+	}
+	fmt.Fprintln(os.Stderr, "tanagerfake:", err)
+	os.Exit(1)
+}
--- a/tanagerfake/tanagerfleet/worker.go
+++ b/tanagerfake/tanagerfleet/worker.go
@@ -63,8 +63,11 @@
 	return r
 }
 
-// clock is the worker's own reading of the time since it started, never zero.
-func (w *worker) clock() int64 { return int64(w.timer.Now().Sub(w.started)) + 1 }
+// clock is the worker's own reading. It never goes back, also across restarts
+// of the worker.
+func (w *worker) clock() int64 {
+	return w.started.UnixNano() + int64(w.timer.Now().Sub(w.started))
+}
 
 // admit checks the epoch and answers 409 to one that has been fenced.
 func (w *worker) admit(rw http.ResponseWriter, epoch uint64) bool {
