Run the whole path as separate processes; shard VMs by name, not by rack

Cause: in the first demo (3 daemons, one killed half way, 3180 requests) 124 requests were answered "not run": all targets of the service dispatch stood in two racks whose shards belonged to the killed daemon, and an owner held workers of one failure domain only, so it could not spread a service. Ruled out: the takeover itself (shards moved after one lease, as designed). Change: a VM's shard follows from its own name.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+MODULES := tanager tanagerd tanagerctl tanagerfake tanagerbench scenarios
+BIN := $(CURDIR)/bin
+
+.PHONY: build demo test bench lint format
+
+build:
+	cd tanagerd && go build -o $(BIN)/tanagerd .
+	cd tanagerctl && go build -o $(BIN)/tanagerctl .
+	cd tanagerfake && go build -o $(BIN)/tanagerfake .
+
+demo: build
+	./scripts/demo.sh
+
+test:
+	./scripts/test.sh
+
+lint:
+	./scripts/lint.sh
--- a/tanager/tanagerconfig/config.go
+++ b/tanager/tanagerconfig/config.go
@@ -30,13 +30,13 @@
 
 // Exception bends the rules of a branch for a time.
 type Exception struct {
-	Name string `json:"name"`
+	Name string `json:"name" yaml:"name"`
 	// WeightFactor multiplies the weight.
-	WeightFactor float64 `json:"weight_factor"`
+	WeightFactor float64 `json:"weight_factor" yaml:"weight_factor"`
 	// UrgentShare replaces the urgent share if it is larger.
-	UrgentShare float64   `json:"urgent_share,omitempty"`
-	From        time.Time `json:"from"`
-	Until       time.Time `json:"until"`
+	UrgentShare float64   `json:"urgent_share,omitempty" yaml:"urgent_share"`
+	From        time.Time `json:"from" yaml:"from"`
+	Until       time.Time `json:"until" yaml:"until"`
 }
 
 // inForce reports whether the exception holds at a time.
--- a/tanager/tanagerresource/vector.go
+++ b/tanager/tanagerresource/vector.go
@@ -17,11 +17,11 @@
 // Vector is an amount of each resource.
 type Vector struct {
 	// CPU is in thousandths of a core.
-	CPU int64 `json:"cpu_milli"`
+	CPU int64 `json:"cpu_milli" yaml:"cpu_milli"`
 	// Memory is in MiB.
-	Memory int64 `json:"memory_mib"`
+	Memory int64 `json:"memory_mib" yaml:"memory_mib"`
 	// Accelerators is in whole devices.
-	Accelerators int64 `json:"accelerators"`
+	Accelerators int64 `json:"accelerators" yaml:"accelerators"`
 }
 
 // Plus returns v + w.
--- a/tanager/tanagershard/doc.go
+++ b/tanager/tanagershard/doc.go
@@ -1,6 +1,6 @@
 // Package tanagershard holds the map that names one owner for each shard.
 //
-// Racks of VMs and branches are hashed to a fixed number of shards. The map is
+// VMs and branches are hashed to a fixed number of shards by their names. The map is
 // one value in the platform's store that changes only by compare-and-swap. Each
 // shard has an epoch that rises whenever its owner changes; workers refuse
 // commands of a lower epoch, so an owner that was paused cannot act after it
--- a/tanager/tanagershard/map.go
+++ b/tanager/tanagershard/map.go
@@ -52,7 +52,7 @@
 	return m
 }
 
-// Of returns the shard that a rack or a branch belongs to.
+// Of returns the shard that a VM or a branch belongs to.
 func (m Map) Of(name string) Shard {
 	return Shard(xxhash.Sum64String(name) % uint64(len(m.Shards)))
 }
--- a/tanagerd/serve.go
+++ b/tanagerd/serve.go
@@ -105,6 +105,7 @@
 
 // newLog returns a log that writes one line of key=value pairs for each event.
 func newLog(level, self string) zerolog.Logger {
+	zerolog.TimeFieldFormat = "2006-01-02T15:04:05.000Z07:00"
 	l, err := zerolog.ParseLevel(level)
 	if err != nil {
 		l = zerolog.InfoLevel
--- a/tanagerd/tanagercontrol/fleet.go
+++ b/tanagerd/tanagercontrol/fleet.go
@@ -87,7 +87,7 @@
 }
 
 func (c *Control) vmChanged(vm tanagerplatform.VM, now time.Time) {
-	if !c.mapped() || !c.owns(c.shardMap.Of(vm.Rack)) {
+	if !c.mapped() || !c.owns(c.shardMap.Of(vm.Name)) {
 		return
 	}
 	switch vm.Kind {
@@ -104,14 +104,14 @@
 	workerOwners := make(map[string]bool)
 	for _, vm := range f.vms {
 		if vm.Kind == tanagerplatform.Worker {
-			workerOwners[m.Shards[m.Of(vm.Rack)].Owner] = true
+			workerOwners[m.Shards[m.Of(vm.Name)].Owner] = true
 			continue
 		}
 		if owners[vm.Service] == nil {
 			owners[vm.Service] = make(map[string]bool)
 		}
 		if vm.State == tanagerplatform.Live {
-			owners[vm.Service][m.Shards[m.Of(vm.Rack)].Owner] = true
+			owners[vm.Service][m.Shards[m.Of(vm.Name)].Owner] = true
 		}
 	}
 	f.workerOwners = slices.Sorted(maps.Keys(workerOwners))
@@ -124,7 +124,7 @@
 // gainTargets begins to own the targets of a shard.
 func (c *Control) gainTargets(s tanagershard.Shard, a tanagershard.Assignment, now time.Time) {
 	for _, vm := range c.fleet.vms {
-		if vm.Kind == tanagerplatform.Target && c.shardMap.Of(vm.Rack) == s {
+		if vm.Kind == tanagerplatform.Target && c.shardMap.Of(vm.Name) == s {
 			c.addTarget(vm, s, len(a.Unconfirmed) > 0)
 		}
 	}
@@ -141,7 +141,7 @@
 
 // targetChanged takes a change of a target's record.
 func (c *Control) targetChanged(vm tanagerplatform.VM, now time.Time) {
-	s := c.shardMap.Of(vm.Rack)
+	s := c.shardMap.Of(vm.Name)
 	row := c.fleet.targets[vm.Name]
 	switch {
 	case vm.State == tanagerplatform.Gone:
--- a/tanagerd/tanagercontrol/recovery.go
+++ b/tanagerd/tanagercontrol/recovery.go
@@ -90,7 +90,7 @@
 	if !ok {
 		return -1
 	}
-	return c.shardMap.Of(vm.Rack)
+	return c.shardMap.Of(vm.Name)
 }
 
 // offersLost makes the offers uncertain that a daemon may have received before
--- a/tanagerd/tanagercontrol/settings.go
+++ b/tanagerd/tanagercontrol/settings.go
@@ -61,7 +61,7 @@
 	journalWindow    = 8
 	journalBytes     = 128 << 10
 	gossipPeers      = 16
-	releasesAtOnce   = 4
+	releasesAtOnce   = 16
 	retryBudgetPart  = 0.1
 	retryBudgetLimit = 100
 )
--- a/tanagerd/tanagercontrol/worker.go
+++ b/tanagerd/tanagercontrol/worker.go
@@ -85,7 +85,7 @@
 func (w *workerTables) gained(c *Control, s tanagershard.Shard, now time.Time) {
 	w.gainedAt[s] = now
 	for _, vm := range c.fleet.vms {
-		if vm.Kind == tanagerplatform.Worker && c.shardMap.Of(vm.Rack) == s {
+		if vm.Kind == tanagerplatform.Worker && c.shardMap.Of(vm.Name) == s {
 			w.add(c, vm, s)
 		}
 	}
@@ -153,7 +153,7 @@
 	row := w.rows[vm.Name]
 	if row == nil {
 		if vm.State != tanagerplatform.Gone {
-			w.add(c, vm, c.shardMap.Of(vm.Rack))
+			w.add(c, vm, c.shardMap.Of(vm.Name))
 		}
 		return
 	}
--- a/tanagerfake/tanagerfleet/observer.go
+++ b/tanagerfake/tanagerfleet/observer.go
@@ -36,8 +36,8 @@
 	RequestRuns int         `json:"request_runs"`
 	RunsByID    []RunCount  `json:"runs_by_id"`
 	Violations  []Violation `json:"violations"`
-	// LastWork is when a VM of each rack last received work.
-	LastWork []RackWork `json:"last_work"`
+	// Work is when each VM received work.
+	Work []VMWork `json:"work"`
 }
 
 // RunCount is how often a request id was run, and how often to its end.
@@ -47,10 +47,13 @@
 	Ended int    `json:"ended"`
 }
 
-// RackWork is the time at which a rack last received work.
-type RackWork struct {
-	Rack string    `json:"rack"`
-	Time time.Time `json:"time"`
+// VMWork is when a VM first and last received work, and the longest time
+// between two pieces of work.
+type VMWork struct {
+	VM          string        `json:"vm"`
+	First       time.Time     `json:"first"`
+	Last        time.Time     `json:"last"`
+	LongestIdle time.Duration `json:"longest_idle"`
 }
 
 type requestRecord struct {
@@ -66,7 +69,7 @@
 	requests   map[string]*requestRecord
 	starts     int
 	violations []Violation
-	lastWork   map[string]time.Time
+	work       map[string]*VMWork
 }
 
 // NewObserver returns an observer that has seen nothing.
@@ -74,7 +77,7 @@
 	return &Observer{
 		tasks:    make(map[string]string),
 		requests: make(map[string]*requestRecord),
-		lastWork: make(map[string]time.Time),
+		work:     make(map[string]*VMWork),
 	}
 }
 
@@ -87,11 +90,11 @@
 	return id
 }
 
-func (o *Observer) taskStarted(vm, rack, id string, now time.Time) {
+func (o *Observer) taskStarted(vm, id string, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.starts++
-	o.lastWork[rack] = now
+	o.worked(vm, now)
 	key := taskKey(id)
 	if other, ok := o.tasks[key]; ok {
 		o.add(DoubleTask, vm, id, "already runs on "+other)
@@ -129,10 +132,10 @@
 	o.add(LeavingWork, vm, id, "leaving for "+since.String())
 }
 
-func (o *Observer) requestStarted(vm, rack, id string, idempotent bool, now time.Time) {
+func (o *Observer) requestStarted(vm, id string, idempotent bool, now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.lastWork[rack] = now
+	o.worked(vm, now)
 	r := o.requests[id]
 	if r == nil {
 		r = &requestRecord{}
@@ -158,6 +161,20 @@
 	}
 }
 
+func (o *Observer) worked(vm string, now time.Time) {
+	w := o.work[vm]
+	if w == nil {
+		o.work[vm] = &VMWork{
+			VM:    vm,
+			First: now,
+			Last:  now,
+		}
+		return
+	}
+	w.LongestIdle = max(w.LongestIdle, now.Sub(w.Last))
+	w.Last = now
+}
+
 func (o *Observer) add(kind ViolationKind, vm, id, note string) {
 	o.violations = append(o.violations, Violation{
 		Kind: kind,
@@ -183,11 +200,8 @@
 			Ended: r.ended,
 		})
 	}
-	for rack, at := range o.lastWork {
-		seen.LastWork = append(seen.LastWork, RackWork{
-			Rack: rack,
-			Time: at,
-		})
+	for _, w := range o.work {
+		seen.Work = append(seen.Work, *w)
 	}
 	return seen
 }
--- a/tanagerfake/tanagerfleet/target.go
+++ b/tanagerfake/tanagerfleet/target.go
@@ -98,7 +98,7 @@
 	busy := t.busy
 	t.mu.Unlock()
 	t.observer.targetUse(t.record.Name, id, busy, t.record.Slots)
-	t.observer.requestStarted(t.record.Name, t.record.Rack, id, idempotent, t.timer.Now())
+	t.observer.requestStarted(t.record.Name, id, idempotent, t.timer.Now())
 }
 
 func (t *target) finish(id string, ended bool) {
--- a/tanagerfake/tanagerfleet/worker.go
+++ b/tanagerfake/tanagerfleet/worker.go
@@ -217,7 +217,7 @@
 	// A payload that is no order asks for nothing.
 	_ = json.Unmarshal(t.Payload, &task.order)
 	w.tasks[t.ID] = task
-	w.observer.taskStarted(w.record.Name, w.record.Rack, t.ID, now)
+	w.observer.taskStarted(w.record.Name, t.ID, now)
 	w.observer.workerUse(w.record.Name, t.ID, w.held(), w.record.Capacity)
 	w.touch(task)
 	if w.blackHole() {
--- a/tanagerfake/tanagerkv/server.go
+++ b/tanagerfake/tanagerkv/server.go
@@ -17,7 +17,6 @@
 // expireInterval is how often lapsed leases are looked for.
 const expireInterval = 50 * time.Millisecond
 
-
 // Faults are the faults that a test has ordered.
 type Faults struct {
 	Outage      bool     `json:"outage"`
