--- a/tanager/tanagerfailure/failure.go
+++ b/tanager/tanagerfailure/failure.go
@@ -59,33 +59,141 @@
 }
 
 var properties = map[Code]codeProperties{
-	MalformedBody:       {http.StatusBadRequest, NotRun, "send a body that matches the documented shape"},
-	InvalidField:        {http.StatusBadRequest, NotRun, "correct the named field"},
-	BodyTooLarge:        {http.StatusRequestEntityTooLarge, NotRun, "send a smaller body"},
-	Unauthenticated:     {http.StatusUnauthorized, NotRun, "send a known token as Authorization: Bearer"},
-	Forbidden:           {http.StatusForbidden, NotRun, "use a token that is allowed to do this"},
-	UnknownBranch:       {http.StatusNotFound, NotRun, "create the branch with an intent first"},
-	UnknownService:      {http.StatusNotFound, NotRun, "check the service name against the platform's list"},
-	UnknownJob:          {http.StatusNotFound, NotRun, "check the job id"},
-	UnknownPlan:         {http.StatusNotFound, NotRun, "make a new plan"},
-	DeadlinePassed:      {http.StatusServiceUnavailable, NotRun, "send again with a longer timeout"},
-	DeadlineUnreachable: {http.StatusTooManyRequests, NotRun, "come back after the stated time"},
-	QueueFull:           {http.StatusTooManyRequests, NotRun, "come back after the stated time"},
-	NoOwner:             {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
-	NoTarget:            {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
-	Draining:            {http.StatusServiceUnavailable, NotRun, "send to another daemon"},
-	StoreUnavailable:    {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
-	OutcomeUnknown:      {http.StatusGatewayTimeout, Unknown, "the work may have run: check before you send it as new work"},
-	RequestIDLost:       {http.StatusConflict, Unknown, "the daemon that issued the id is gone: check whether the work ran"},
-	RequestIDExpired:    {http.StatusConflict, Unknown, "the id is too old to be known: check whether the work ran"},
-	RequestIDReused:     {http.StatusConflict, NotRun, "use a request id for one body only"},
-	TargetFailed:        {http.StatusBadGateway, Failed, "the target answered with an error"},
-	RetriesExhausted:    {http.StatusServiceUnavailable, NotRun, "come back after the stated time"},
-	JobImpossible:       {http.StatusUnprocessableEntity, NotRun, "ask for less than the largest worker holds"},
-	QuotaExceeded:       {http.StatusTooManyRequests, NotRun, "wait for running work to end or ask for a larger quota"},
-	LimitExceeded:       {http.StatusUnprocessableEntity, NotRun, "stay inside the limits that the centre set"},
-	StalePlan:           {http.StatusConflict, NotRun, "make a new plan against the current revision"},
-	Cancelled:           {http.StatusConflict, NotRun, "the work was cancelled before it started"},
+	MalformedBody: {
+		status:  http.StatusBadRequest,
+		outcome: NotRun,
+		hint:    "send a body that matches the documented shape",
+	},
+	InvalidField: {
+		status:  http.StatusBadRequest,
+		outcome: NotRun,
+		hint:    "correct the named field",
+	},
+	BodyTooLarge: {
+		status:  http.StatusRequestEntityTooLarge,
+		outcome: NotRun,
+		hint:    "send a smaller body",
+	},
+	Unauthenticated: {
+		status:  http.StatusUnauthorized,
+		outcome: NotRun,
+		hint:    "send a known token as Authorization: Bearer",
+	},
+	Forbidden: {
+		status:  http.StatusForbidden,
+		outcome: NotRun,
+		hint:    "use a token that is allowed to do this",
+	},
+	UnknownBranch: {
+		status:  http.StatusNotFound,
+		outcome: NotRun,
+		hint:    "create the branch with an intent first",
+	},
+	UnknownService: {
+		status:  http.StatusNotFound,
+		outcome: NotRun,
+		hint:    "check the service name against the platform's list",
+	},
+	UnknownJob: {
+		status:  http.StatusNotFound,
+		outcome: NotRun,
+		hint:    "check the job id",
+	},
+	UnknownPlan: {
+		status:  http.StatusNotFound,
+		outcome: NotRun,
+		hint:    "make a new plan",
+	},
+	DeadlinePassed: {
+		status:  http.StatusServiceUnavailable,
+		outcome: NotRun,
+		hint:    "send again with a longer timeout",
+	},
+	DeadlineUnreachable: {
+		status:  http.StatusTooManyRequests,
+		outcome: NotRun,
+		hint:    "come back after the stated time",
+	},
+	QueueFull: {
+		status:  http.StatusTooManyRequests,
+		outcome: NotRun,
+		hint:    "come back after the stated time",
+	},
+	NoOwner: {
+		status:  http.StatusServiceUnavailable,
+		outcome: NotRun,
+		hint:    "come back after the stated time",
+	},
+	NoTarget: {
+		status:  http.StatusServiceUnavailable,
+		outcome: NotRun,
+		hint:    "come back after the stated time",
+	},
+	Draining: {
+		status:  http.StatusServiceUnavailable,
+		outcome: NotRun,
+		hint:    "send to another daemon",
+	},
+	StoreUnavailable: {
+		status:  http.StatusServiceUnavailable,
+		outcome: NotRun,
+		hint:    "come back after the stated time",
+	},
+	OutcomeUnknown: {
+		status:  http.StatusGatewayTimeout,
+		outcome: Unknown,
+		hint:    "the work may have run: check before you send it as new work",
+	},
+	RequestIDLost: {
+		status:  http.StatusConflict,
+		outcome: Unknown,
+		hint:    "the daemon that issued the id is gone: check whether the work ran",
+	},
+	RequestIDExpired: {
+		status:  http.StatusConflict,
+		outcome: Unknown,
+		hint:    "the id is too old to be known: check whether the work ran",
+	},
+	RequestIDReused: {
+		status:  http.StatusConflict,
+		outcome: NotRun,
+		hint:    "use a request id for one body only",
+	},
+	TargetFailed: {
+		status:  http.StatusBadGateway,
+		outcome: Failed,
+		hint:    "the target answered with an error",
+	},
+	RetriesExhausted: {
+		status:  http.StatusServiceUnavailable,
+		outcome: NotRun,
+		hint:    "come back after the stated time",
+	},
+	JobImpossible: {
+		status:  http.StatusUnprocessableEntity,
+		outcome: NotRun,
+		hint:    "ask for less than the largest worker holds",
+	},
+	QuotaExceeded: {
+		status:  http.StatusTooManyRequests,
+		outcome: NotRun,
+		hint:    "wait for running work to end or ask for a larger quota",
+	},
+	LimitExceeded: {
+		status:  http.StatusUnprocessableEntity,
+		outcome: NotRun,
+		hint:    "stay inside the limits that the centre set",
+	},
+	StalePlan: {
+		status:  http.StatusConflict,
+		outcome: NotRun,
+		hint:    "make a new plan against the current revision",
+	},
+	Cancelled: {
+		status:  http.StatusConflict,
+		outcome: NotRun,
+		hint:    "the work was cancelled before it started",
+	},
 }
 
 // Codes returns every public code, for documentation and tests.
--- a/tanagerctl/tanagerclient/caller.go
+++ b/tanagerctl/tanagerclient/caller.go
@@ -58,7 +58,7 @@
 	if r.Idempotent {
 		header.Set("Tanager-Idempotent", "true")
 	}
-	if r.Timeout > 0 {
+	if r.Timeout != 0 {
 		header.Set("Tanager-Timeout", r.Timeout.String())
 	}
 	got, err := c.send(ctx, call{
--- a/tanagerctl/tanagerplay/play.go
+++ b/tanagerctl/tanagerplay/play.go
@@ -144,7 +144,7 @@
 	start := r.settings.Timer.Now()
 	result := Result{
 		Name:       g.Name,
-		Class:      g.Class,
+		Class:      className(g.Class),
 		Idempotent: g.Idempotent,
 	}
 	ids, err := client.RequestIDs(ctx, 1)
@@ -174,6 +174,14 @@
 	r.results.add(result)
 }
 
+// className returns the class that an empty one stands for.
+func className(class string) string {
+	if class == "" {
+		return "normal"
+	}
+	return class
+}
+
 // requestBody is unlike any other body of the play, so that a wrong answer
 // shows.
 func requestBody(g RequestGroup, n int) []byte {
@@ -234,7 +242,7 @@
 	j.Key = fmt.Sprintf("%s-%s-%d", r.settings.Name, g.Name, n)
 	result := Result{
 		Name:       g.Name,
-		Class:      j.Class,
+		Class:      className(j.Class),
 		Idempotent: j.Idempotent,
 		Job:        true,
 	}
--- a/tanagerd/tanagerapi/api.go
+++ b/tanagerd/tanagerapi/api.go
@@ -76,7 +76,6 @@
 type API struct {
 	Dependencies
 	settings Settings
-	ready    atomic.Bool
 	draining atomic.Bool
 }
 
--- a/tanagerd/tanagercontrol/fleet.go
+++ b/tanagerd/tanagercontrol/fleet.go
@@ -122,7 +122,7 @@
 }
 
 // gainTargets begins to own the targets of a shard.
-func (c *Control) gainTargets(s tanagershard.Shard, a tanagershard.Assignment, now time.Time) {
+func (c *Control) gainTargets(s tanagershard.Shard, a tanagershard.Assignment) {
 	for _, vm := range c.fleet.vms {
 		if vm.Kind == tanagerplatform.Target && c.shardMap.Of(vm.Name) == s {
 			c.addTarget(vm, s, len(a.Unconfirmed) > 0)
--- a/tanagerd/tanagercontrol/home.go
+++ b/tanagerd/tanagercontrol/home.go
@@ -111,10 +111,7 @@
 		home:     id.Home,
 		deadline: now.Add(m.Spec.Timeout),
 	}
-	relay := tanagermessage.RequestRelay{
-		Waiter: m.Waiter,
-		Spec:   m.Spec,
-	}
+	relay := tanagermessage.RequestRelay(m)
 	if !c.send(id.Home, tanagermessage.TopicRequestRelay, relay) {
 		c.relayUnsent(id.Home, relay, now)
 	}
--- a/tanagerd/tanagercontrol/shards.go
+++ b/tanagerd/tanagercontrol/shards.go
@@ -67,7 +67,7 @@
 	c.Log.Info().Str("event", "shard_gained").Int("shard", int(s)).Uint64("epoch", a.Epoch).Strs("unconfirmed", a.Unconfirmed).Send()
 	c.counters.shardsGained++
 	c.workers.gained(c, s, now)
-	c.gainTargets(s, a, now)
+	c.gainTargets(s, a)
 	c.openJournal(s, a.Epoch)
 }
 
@@ -97,7 +97,7 @@
 	switch {
 	case c.settle():
 	case c.takeOver(live, now):
-	case c.handOver(now):
+	case c.handOver():
 	case c.changeRoster(live, now):
 	default:
 		c.balance(live)
@@ -206,7 +206,7 @@
 }
 
 // handOver writes the map for the shards that are released and quiet.
-func (c *Control) handOver(now time.Time) bool {
+func (c *Control) handOver() bool {
 	next := c.shardMap
 	changed := false
 	for s, to := range c.releasing {
@@ -214,7 +214,7 @@
 			delete(c.releasing, s)
 			continue
 		}
-		if c.quiet(s, now) {
+		if c.quiet(s) {
 			next = next.HandOver(s, to)
 			changed = true
 		}
@@ -228,7 +228,7 @@
 
 // quiet reports whether nothing of this daemon's is under way in a shard that
 // its successor could not learn of.
-func (c *Control) quiet(s tanagershard.Shard, _ time.Time) bool {
+func (c *Control) quiet(s tanagershard.Shard) bool {
 	return c.fleet.inFlight(s) == 0 && !c.jobs.writing(s) && !c.workers.starting(s)
 }
 
--- a/tanagerd/tanagermetric/metric.go
+++ b/tanagerd/tanagermetric/metric.go
@@ -50,25 +50,113 @@
 }
 
 var instruments = []instrument{
-	{"tanager_requests_done", "Requests that ended done or failed at their home.", true, func(r Reading) int64 { return int64(r.Status.Counters.RequestsDone) }},
-	{"tanager_retries", "Idempotent requests that were run again.", true, func(r Reading) int64 { return int64(r.Status.Counters.Retries) }},
-	{"tanager_tasks_started", "Tasks that were started on workers.", true, func(r Reading) int64 { return int64(r.Status.Counters.TasksStarted) }},
-	{"tanager_tasks_ended", "Tasks whose outcome was written.", true, func(r Reading) int64 { return int64(r.Status.Counters.TasksEnded) }},
-	{"tanager_take_overs", "Takeovers that were written.", true, func(r Reading) int64 { return int64(r.Status.Counters.TakeOvers) }},
-	{"tanager_hand_overs", "Hand-overs that were written.", true, func(r Reading) int64 { return int64(r.Status.Counters.HandOvers) }},
-	{"tanager_workers_lost", "Workers whose task lease has lapsed.", true, func(r Reading) int64 { return int64(r.Status.Counters.WorkersLost) }},
-	{"tanager_workers_isolated", "Isolations of workers that fail tasks.", true, func(r Reading) int64 { return int64(r.Status.Counters.Isolated) }},
-	{"tanager_store_writes", "Write calls to the store.", true, func(r Reading) int64 { return int64(r.StoreCalls.Writes) }},
-	{"tanager_store_reads", "Read calls and watches of the store.", true, func(r Reading) int64 { return int64(r.StoreCalls.Reads) }},
-	{"tanager_peer_sent_bytes", "Bytes sent to other daemons.", true, func(r Reading) int64 { return int64(r.PeerSent) }},
-	{"tanager_peer_received_bytes", "Bytes received from other daemons.", true, func(r Reading) int64 { return int64(r.PeerReceived) }},
-	{"tanager_config_revision", "Revision of the configuration in force.", false, func(r Reading) int64 { return int64(r.Status.ConfigRevision) }},
-	{"tanager_members", "Daemons in the cell.", false, func(r Reading) int64 { return int64(len(r.Status.Members)) }},
-	{"tanager_shards", "Shards that the daemon owns.", false, func(r Reading) int64 { return int64(len(r.Status.Shards)) }},
-	{"tanager_queued_requests", "Requests that wait for a slot.", false, func(r Reading) int64 { return int64(r.Status.QueuedRequests) }},
-	{"tanager_in_flight_requests", "Requests that run at targets.", false, func(r Reading) int64 { return int64(r.Status.InFlight) }},
-	{"tanager_workers_known", "Workers that have told their tasks.", false, func(r Reading) int64 { return int64(r.Status.KnownWorkers) }},
-	{"tanager_tasks", "Tasks on the daemon's workers.", false, func(r Reading) int64 { return int64(r.Status.Tasks) }},
+	{
+		name:    "tanager_requests_done",
+		help:    "Requests that ended done or failed at their home.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.RequestsDone) },
+	},
+	{
+		name:    "tanager_retries",
+		help:    "Idempotent requests that were run again.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.Retries) },
+	},
+	{
+		name:    "tanager_tasks_started",
+		help:    "Tasks that were started on workers.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.TasksStarted) },
+	},
+	{
+		name:    "tanager_tasks_ended",
+		help:    "Tasks whose outcome was written.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.TasksEnded) },
+	},
+	{
+		name:    "tanager_take_overs",
+		help:    "Takeovers that were written.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.TakeOvers) },
+	},
+	{
+		name:    "tanager_hand_overs",
+		help:    "Hand-overs that were written.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.HandOvers) },
+	},
+	{
+		name:    "tanager_workers_lost",
+		help:    "Workers whose task lease has lapsed.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.WorkersLost) },
+	},
+	{
+		name:    "tanager_workers_isolated",
+		help:    "Isolations of workers that fail tasks.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.Status.Counters.Isolated) },
+	},
+	{
+		name:    "tanager_store_writes",
+		help:    "Write calls to the store.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.StoreCalls.Writes) },
+	},
+	{
+		name:    "tanager_store_reads",
+		help:    "Read calls and watches of the store.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.StoreCalls.Reads) },
+	},
+	{
+		name:    "tanager_peer_sent_bytes",
+		help:    "Bytes sent to other daemons.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.PeerSent) },
+	},
+	{
+		name:    "tanager_peer_received_bytes",
+		help:    "Bytes received from other daemons.",
+		counter: true,
+		value:   func(r Reading) int64 { return int64(r.PeerReceived) },
+	},
+	{
+		name:  "tanager_config_revision",
+		help:  "Revision of the configuration in force.",
+		value: func(r Reading) int64 { return int64(r.Status.ConfigRevision) },
+	},
+	{
+		name:  "tanager_members",
+		help:  "Daemons in the cell.",
+		value: func(r Reading) int64 { return int64(len(r.Status.Members)) },
+	},
+	{
+		name:  "tanager_shards",
+		help:  "Shards that the daemon owns.",
+		value: func(r Reading) int64 { return int64(len(r.Status.Shards)) },
+	},
+	{
+		name:  "tanager_queued_requests",
+		help:  "Requests that wait for a slot.",
+		value: func(r Reading) int64 { return int64(r.Status.QueuedRequests) },
+	},
+	{
+		name:  "tanager_in_flight_requests",
+		help:  "Requests that run at targets.",
+		value: func(r Reading) int64 { return int64(r.Status.InFlight) },
+	},
+	{
+		name:  "tanager_workers_known",
+		help:  "Workers that have told their tasks.",
+		value: func(r Reading) int64 { return int64(r.Status.KnownWorkers) },
+	},
+	{
+		name:  "tanager_tasks",
+		help:  "Tasks on the daemon's workers.",
+		value: func(r Reading) int64 { return int64(r.Status.Tasks) },
+	},
 }
 
 // New registers the instruments.
