--- a/tanagerd/tanagercontrol/control.go
+++ b/tanagerd/tanagercontrol/control.go
@@ -233,8 +233,16 @@
 	c.suspects[member] = c.Timer.Now().Add(suspectTime)
 }
 
+// suspected reports whether work is kept away from a daemon: its connection
+// broke lately, or it has not told of its load for so long that it may be
+// paused. In a cell in which gossip goes to a part of the daemons only, silence
+// tells nothing.
 func (c *Control) suspected(member string, now time.Time) bool {
-	return now.Before(c.suspects[member])
+	if now.Before(c.suspects[member]) {
+		return true
+	}
+	h, known := c.hints[member]
+	return known && len(c.members) <= gossipPeers+1 && now.Sub(h.received) > hintLife
 }
 
 // mayAct reports whether this daemon may use what it owns.
--- a/tanagerd/tanagercontrol/settings.go
+++ b/tanagerd/tanagercontrol/settings.go
@@ -48,6 +48,7 @@
 	recountInterval  = time.Second
 	takeOverSpacing  = 300 * time.Millisecond
 	suspectTime      = time.Second
+	hintLife         = 750 * time.Millisecond
 	resendInterval   = 200 * time.Millisecond
 	unreachableLimit = 2 * time.Second
 )
