Make scenarios able to fail: long requests, deaf daemons, broken connections

Cause: with a mechanism taken out, five scripts still passed: kill_owner without the gate and the ghost count, store_cut with a right that never lapses, worker_lost with a lapse of half the lease, targets_fail with an immediate second run. Their work ended before the replacement could collide with it, and a daemon without the store still heard the new map from its peers.

--- a/scenarios/cell_test.go
+++ b/scenarios/cell_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,9 @@
 	fleet   string
 	daemons []string
 	http    map[string]string
+	// relays are the controls of the relays in front of the daemons' peer
+	// addresses.
+	relays map[string]string
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -55,11 +59,31 @@
 	done    chan error
 }
 
+// The ports that scenarios use lie below those that the operating system gives
+// to outgoing connections. Runs of the tests beside each other begin at
+// different ports.
+const (
+	firstPort    = 18000
+	lastPort     = 31000
+	portsPerTest = 150
+)
+
+var nextPort atomic.Int64
+
+// freeAddress returns an address that nobody listens on.
 func freeAddress(ts *testscript.TestScript) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
-	defer l.Close()
-	return l.Addr().String()
+	span := int64(lastPort - firstPort)
+	for range span {
+		port := firstPort + (int64(os.Getpid())*portsPerTest+nextPort.Add(1))%span
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			ts.Check(l.Close())
+			return address
+		}
+	}
+	ts.Fatalf("no free port")
+	return ""
 }
 
 // newCell starts the stand-ins and the daemons and waits until all are ready.
@@ -70,6 +94,7 @@
 		store:     freeAddress(ts),
 		fleet:     freeAddress(ts),
 		http:      make(map[string]string),
+		relays:    make(map[string]string),
 		processes: make(map[string]*process),
 	}
 	ts.Defer(c.end)
@@ -80,7 +105,7 @@
 	for i := 1; i <= count; i++ {
 		name := fmt.Sprintf("d%d", i)
 		c.daemons = append(c.daemons, name)
-		c.writeSettings(name, i)
+		c.startRelay(name, c.writeSettings(name, i))
 		c.startDaemon(name)
 	}
 	c.await("all daemons ready", func() bool {
@@ -95,14 +120,32 @@
 	return c
 }
 
-func (c *cell) writeSettings(name string, number int) {
+// peerAddresses are where a daemon's peers reach it and where it listens.
+type peerAddresses struct {
+	reached string
+	listens string
+}
+
+// startRelay puts a relay in front of a daemon's peer address, so that a
+// scenario can make the daemon deaf.
+func (c *cell) startRelay(name string, p peerAddresses) {
+	c.relays[name] = freeAddress(c.ts)
+	c.start(name+"-relay", "tanagerfake", "relay", "--address", p.reached, "--to", p.listens, "--control", c.relays[name])
+}
+
+func (c *cell) writeSettings(name string, number int) peerAddresses {
 	c.http[name] = freeAddress(c.ts)
+	peer := peerAddresses{
+		reached: freeAddress(c.ts),
+		listens: freeAddress(c.ts),
+	}
 	text := fmt.Sprintf(`daemon:
   name: %s
   failure_domain: %s
   region: south
   http_address: %s
   peer_address: %s
+  peer_listen: %s
   peer_token: scenario-peer-token
 platform:
   store: %s
@@ -120,8 +163,9 @@
   - {token: %s, branch: blue}
 operators:
   - {token: %s, name: centre}
-`, name, string(rune('a'+(number-1)%3)), c.http[name], freeAddress(c.ts), c.store, c.fleet, redToken, blueToken, operatorToken)
+`, name, string(rune('a'+(number-1)%3)), c.http[name], peer.reached, peer.listens, c.store, c.fleet, redToken, blueToken, operatorToken)
 	c.ts.Check(os.WriteFile(filepath.Join(c.dir, name+".yaml"), []byte(text), 0o600))
+	return peer
 }
 
 func (c *cell) startDaemon(name string) {
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -50,6 +50,7 @@
 			"crash":    crashProcess,
 			"pause":    pauseProcess,
 			"resume":   resumeProcess,
+			"deafen":   deafenDaemon,
 			"shutdown": stopProcess,
 			"start":    startProcess,
 			"store":    orderStore,
@@ -92,6 +93,13 @@
 	cellOf(ts).signal(args[0], syscall.SIGCONT)
 }
 
+// deafen NAME true|false cuts the connections of a daemon's peers to it, or ends
+// that. What it sends still arrives.
+func deafenDaemon(ts *testscript.TestScript, _ bool, args []string) {
+	c := cellOf(ts)
+	c.post("http://"+c.relays[args[0]]+"/control/cut", fmt.Sprintf(`{"cut": %s}`, args[1]))
+}
+
 // shutdown NAME asks a process to end and expects exit code 0.
 func stopProcess(ts *testscript.TestScript, _ bool, args []string) {
 	c := cellOf(ts)
@@ -124,11 +132,11 @@
 	c.post("http://"+c.store+"/control/faults", body)
 }
 
-// vm NAME dead|paused|leaving|black_hole|ok orders a fault of a VM.
+// vm NAME dead|paused|leaving|black_hole|reset|ok orders a fault of a VM.
 func orderVM(ts *testscript.TestScript, _ bool, args []string) {
 	body := "{}"
 	switch args[1] {
-	case "dead", "paused", "black_hole":
+	case "dead", "paused", "black_hole", "reset":
 		body = fmt.Sprintf(`{%q: true}`, args[1])
 	case "leaving":
 		body = `{"state": "leaving"}`
--- a/scenarios/doc.go
+++ b/scenarios/doc.go
@@ -3,7 +3,7 @@
 // they fail.
 //
 // A scenario is a script in testdata, in the language of testscript with the
-// commands that commands_test.go adds: cell, crash, pause, resume, shutdown, start,
+// commands that commands_test.go adds: cell, crash, pause, resume, deafen, shutdown, start,
 // store, cut, vm, ctl, play, await and expect. The observer in the stand-ins
 // says what really ran; a scenario never takes the system's own word for it.
 //
--- a/tanagerd/serve.go
+++ b/tanagerd/serve.go
@@ -134,7 +134,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := listen(d.settings.Daemon.PeerAddress, api.PeerHandler())
+	peers, err := listen(d.settings.Daemon.PeerListen, api.PeerHandler())
 	if err != nil {
 		return err
 	}
--- a/tanagerd/tanagersettings/check.go
+++ b/tanagerd/tanagersettings/check.go
@@ -59,6 +59,7 @@
 	}
 	c.address("daemon.http_address", d.HTTPAddress)
 	c.address("daemon.peer_address", d.PeerAddress)
+	c.address("daemon.peer_listen", d.PeerListen)
 	if len(d.PeerToken) < minTokenLength {
 		c.add("daemon.peer_token", fmt.Sprintf("must have at least %d bytes", minTokenLength))
 	}
--- a/tanagerd/tanagersettings/settings.go
+++ b/tanagerd/tanagersettings/settings.go
@@ -40,7 +40,10 @@
 	FailureDomain string         `yaml:"failure_domain"`
 	Region        string         `yaml:"region"`
 	HTTPAddress   netip.AddrPort `yaml:"http_address"`
-	PeerAddress   netip.AddrPort `yaml:"peer_address"`
+	// PeerAddress is where the other daemons reach this one.
+	PeerAddress netip.AddrPort `yaml:"peer_address"`
+	// PeerListen is where it listens for them, if that is another address.
+	PeerListen netip.AddrPort `yaml:"peer_listen"`
 	// PeerToken is shared by all daemons of a cell.
 	PeerToken string `yaml:"peer_token"`
 }
@@ -142,6 +145,9 @@
 	if err := yaml.UnmarshalWithOptions(content, &s, yaml.Strict()); err != nil {
 		return Settings{}, Malformed.New("%s", yaml.FormatError(err, false, true))
 	}
+	if !s.Daemon.PeerListen.IsValid() {
+		s.Daemon.PeerListen = s.Daemon.PeerAddress
+	}
 	if err := check(s, content); err != nil {
 		return Settings{}, err
 	}
--- a/tanagerfake/tanagerfleet/doc.go
+++ b/tanagerfake/tanagerfleet/doc.go
@@ -7,6 +7,7 @@
 //	{"state": "leaving"}  the list shows the VM as leaving, after its lag
 //	{"dead": true}        the VM closes its connections and stops its work
 //	{"paused": true}      the VM answers nothing until it is set to false
+//	{"reset": true}       the VM's connections break once, its work goes on
 //	{"black_hole": true}  a worker fails each task as soon as it starts
 //
 // An observer records what ran where, apart from what the system believes, and
--- a/tanagerfake/tanagerfleet/target.go
+++ b/tanagerfake/tanagerfleet/target.go
@@ -87,7 +87,11 @@
 func (t *target) work(r *http.Request, d time.Duration) {
 	done := t.timer.After(d)
 	defer done.Stop()
-	<-done.C
+	select {
+	case <-done.C:
+	case <-t.died:
+		panic(http.ErrAbortHandler)
+	}
 	t.awaitResume(r)
 }
 
--- a/tanagerfake/tanagerfleet/vm.go
+++ b/tanagerfake/tanagerfleet/vm.go
@@ -18,6 +18,8 @@
 	Dead      bool                  `json:"dead"`
 	Paused    bool                  `json:"paused"`
 	BlackHole bool                  `json:"black_hole"`
+	// Reset cuts the VM's connections once; its work goes on.
+	Reset bool `json:"reset"`
 }
 
 // machine is what workers and targets have in common: a listener, faults and
@@ -32,7 +34,9 @@
 	faults       VMFaults
 	leavingSince time.Time
 	resumed      chan struct{}
+	died         chan struct{}
 	server       *http.Server
+	connections  map[net.Conn]struct{}
 }
 
 func newMachine(record tanagerplatform.VM, f *Fleet) *machine {
@@ -42,6 +46,9 @@
 		grace:    f.settings.LeavingGrace + f.settings.ListLag,
 		record:   record,
 		resumed:  make(chan struct{}),
+		died:     make(chan struct{}),
+
+		connections: make(map[net.Conn]struct{}),
 	}
 }
 
@@ -55,12 +62,24 @@
 	m.server = &http.Server{
 		Handler:           m.hold(handler),
 		ReadHeaderTimeout: time.Minute,
+		ConnState:         m.track,
 	}
 	// Serve ends when the VM is told to be dead.
 	go func() { _ = m.server.Serve(listener) }()
 	return nil
 }
 
+// track keeps the open connections.
+func (m *machine) track(c net.Conn, state http.ConnState) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if state == http.StateClosed || state == http.StateHijacked {
+		delete(m.connections, c)
+		return
+	}
+	m.connections[c] = struct{}{}
+}
+
 // hold keeps calls waiting while the VM is paused.
 func (m *machine) hold(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -94,8 +113,14 @@
 		m.resumed = make(chan struct{})
 	}
 	if f.Dead && !m.faults.Dead {
+		close(m.died)
 		// Closing cuts every connection, as the death of a VM does.
-		_ = m.server.Close()
+		go func() { _ = m.server.Close() }()
+	}
+	if f.Reset {
+		for c := range m.connections {
+			_ = c.Close()
+		}
 	}
 	m.faults = f
 	state := f.State
