--- a/tanager/tanagerqueue/doc.go
+++ b/tanager/tanagerqueue/doc.go
@@ -10,10 +10,11 @@
 // batch. The cost of a request is estimated when it is taken and corrected when
 // it ends.
 //
-// A branch with an urgent request is put before the others as long as its
-// virtual time is not further ahead than its urgent allowance, a number of slot
-// seconds. The time is charged all the same, so urgency buys an earlier start
-// and never a larger share.
+// A branch with an urgent request is put before the others as long as it has
+// urgent credit, which it earns at the rate of its urgent share of the slots and
+// which adds up over 100 ms, and as long as its virtual time is not further
+// ahead than that. The slot time is charged all the same, so urgency buys an
+// earlier start and, while others wait, no larger share.
 //
 // # Admission
 //
@@ -28,7 +29,7 @@
 //	queue := tanagerqueue.New[string](settings, rand.New(rand.NewPCG(seed, 0)))
 //	queue.SetBranch("rosenheim", tanagerqueue.Branch{Weight: 2})
 //	failure := queue.Offer(item, now)
-//	item, ok := queue.Take()
+//	item, ok := queue.Take(now)
 //	queue.Finish(item, used)
 //
 // A Queue is not safe for concurrent use; the control goroutine owns it.
--- a/tanager/tanagerqueue/queue.go
+++ b/tanager/tanagerqueue/queue.go
@@ -28,9 +28,9 @@
 type Branch struct {
 	// Weight is the branch's part of the slot time relative to others.
 	Weight float64
-	// UrgentAllowance is how much slot time the branch's urgent work may be
-	// served ahead of its share.
-	UrgentAllowance time.Duration
+	// UrgentShare is the part of the slots, from 0 to 1, that the branch's
+	// urgent work may use ahead of other branches.
+	UrgentShare float64
 }
 
 // Item is one waiting piece of work.
@@ -59,6 +59,10 @@
 	cost   [classes]time.Duration
 	index  int
 	urgent int
+	// credit is the slot time, in seconds, that urgent work may be served ahead
+	// of others, as of creditAt.
+	credit   float64
+	creditAt time.Time
 }
 
 // Queue is a bounded weighted-fair queue.
@@ -116,6 +120,16 @@
 	b.rules = rules
 }
 
+// urgentBurst is the time over which unused urgent shares add up.
+const urgentBurst = 100 * time.Millisecond
+
+// refill brings the urgent credit of a branch up to date.
+func (q *Queue[T]) refill(b *branch[T], now time.Time) {
+	earned := now.Sub(b.creditAt).Seconds() * b.rules.UrgentShare * float64(q.slots)
+	b.credit = min(b.credit+earned, q.urgentLimit(b))
+	b.creditAt = now
+}
+
 // SetSlots tells the queue how many items are served at once.
 func (q *Queue[T]) SetSlots(slots int) { q.slots = slots }
 
@@ -247,31 +261,44 @@
 }
 
 // Take returns the next item that was not cancelled.
-func (q *Queue[T]) Take() (*Item[T], bool) {
+func (q *Queue[T]) Take(now time.Time) (*Item[T], bool) {
 	if q.length == 0 {
 		return nil, false
 	}
-	b := q.next()
+	b := q.next(now)
 	item := b.first()
 	b.waiting[item.Class].pop()
-	q.virtual = max(q.virtual, b.virtual)
+	// An urgent branch that goes first is ahead of the queue's own time.
+	q.virtual = max(q.virtual, q.ready.items[0].virtual)
 	b.virtual += item.cost.Seconds() / b.rules.Weight
 	q.shrink(b, item.Class)
 	return item, true
 }
 
 // next chooses the branch to serve.
-func (q *Queue[T]) next() *branch[T] {
+func (q *Queue[T]) next(now time.Time) *branch[T] {
 	least := q.ready.items[0]
 	if len(q.urgent.items) == 0 {
 		return least
 	}
 	b := q.urgent.items[0]
-	ahead := (b.virtual - least.virtual) * b.rules.Weight
-	if ahead <= b.rules.UrgentAllowance.Seconds() {
+	if b == least {
 		return b
 	}
-	return least
+	q.refill(b, now)
+	cost := b.cost[Urgent].Seconds()
+	ahead := (b.virtual - least.virtual) * b.rules.Weight
+	if b.credit < cost || ahead > q.urgentLimit(b) {
+		return least
+	}
+	b.credit -= cost
+	return b
+}
+
+// urgentLimit returns the slot time, in seconds, that a branch's urgent work may
+// be served ahead of others.
+func (q *Queue[T]) urgentLimit(b *branch[T]) float64 {
+	return b.rules.UrgentShare * float64(q.slots) * urgentBurst.Seconds()
 }
 
 // first returns the front item of the most urgent class that has one.
--- a/tanagerd/tanagercontrol/owner.go
+++ b/tanagerd/tanagercontrol/owner.go
@@ -176,7 +176,7 @@
 		if t == nil {
 			return
 		}
-		item, ok := s.queue.Take()
+		item, ok := s.queue.Take(now)
 		if !ok {
 			return
 		}
@@ -366,7 +366,7 @@
 		if c.ownsService(s.name) {
 			continue
 		}
-		for item, ok := s.queue.Take(); ok; item, ok = s.queue.Take() {
+		for item, ok := s.queue.Take(now); ok; item, ok = s.queue.Take(now) {
 			c.answerOwned(item.Value, tanagermessage.RequestAnswer{
 				Failure: tanagerfailure.New(tanagerfailure.NoOwner, "the service's targets have moved to another daemon").After(c.settings.Queue.RetryFloor),
 			}, now)
--- a/tanagerd/tanagercontrol/rules.go
+++ b/tanagerd/tanagercontrol/rules.go
@@ -35,15 +35,14 @@
 func (c *Control) applyQueueRules(s *serviceRow) {
 	for _, name := range c.config.BranchNames() {
 		rules, _ := c.config.Effective(name, c.Wall())
-		s.queue.SetBranch(name, queueRules(rules, c.slots(s.name)))
+		s.queue.SetBranch(name, queueRules(rules))
 	}
 }
 
-// queueRules are the rules of a branch in the queue of a service with a number
-// of slots. The urgent share is granted as one second of that part of the slots.
-func queueRules(r tanagerconfig.Rules, slots int) tanagerqueue.Branch {
+// queueRules are the rules of a branch in the queue of a service.
+func queueRules(r tanagerconfig.Rules) tanagerqueue.Branch {
 	return tanagerqueue.Branch{
-		Weight:          r.Weight,
-		UrgentAllowance: time.Duration(r.UrgentShare * float64(slots) * float64(time.Second)),
+		Weight:      r.Weight,
+		UrgentShare: r.UrgentShare,
 	}
 }
