Fence job journals by epoch; an owner without a right says nothing of jobs

Ruled out: a lost acceptance (the job ran to its end at the new owner). Figures: TestLowerEpochCannotTakeTheJournalBack, TestOwnerWithoutRightSaysNothingAboutJobs and TestFencedOwnerStopsUsingTheWorker failed before and pass after.

--- a/tanager/tanagerjournal/journal.go
+++ b/tanager/tanagerjournal/journal.go
@@ -13,6 +13,9 @@
 // Errors is the namespace of this package's errors.
 var Errors = errorx.NewNamespace("tanagerjournal")
 
+// Fenced means that the journal was written in a higher epoch.
+var Fenced = Errors.NewType("fenced")
+
 // Replaced means that another writer has appended since the journal was last
 // loaded: the caller must load it again.
 var Replaced = Errors.NewType("replaced")
@@ -29,6 +32,9 @@
 	Prefix string
 	// Writer names this process uniquely across restarts.
 	Writer string
+	// Epoch is the writer's epoch. A journal that has been written in a higher
+	// epoch cannot be loaded. Journals whose writers need no order have zero.
+	Epoch uint64
 	// Window is the largest number of records in the head.
 	Window int
 	// WindowBytes is the largest size of the records in the head.
@@ -59,6 +65,8 @@
 type head struct {
 	Writer string `json:"writer"`
 	Write  uint64 `json:"write"`
+	// Epoch is that of the writer.
+	Epoch uint64 `json:"epoch,omitempty"`
 	// Sequence is that of the last record.
 	Sequence uint64 `json:"sequence"`
 	// Base is the sequence that the snapshot reaches.
@@ -97,7 +105,8 @@
 // Sequence returns the sequence of the last known record.
 func (j *Journal) Sequence() uint64 { return j.head.Sequence }
 
-// Load reads the whole journal.
+// Load reads the whole journal. It returns Fenced if the journal was written in
+// a higher epoch.
 func (j *Journal) Load(ctx context.Context) (Recovery, error) {
 	read, err := j.store.Read(ctx, j.settings.Prefix+"/")
 	if err != nil {
@@ -118,6 +127,9 @@
 			return Recovery{}, err
 		}
 	}
+	if j.head.Epoch > j.settings.Epoch {
+		return Recovery{}, Fenced.New("%s is in epoch %d, the writer in %d", j.settings.Prefix, j.head.Epoch, j.settings.Epoch)
+	}
 	return Recovery{
 		Snapshot: saved.State,
 		Records:  after(j.head.Records, saved.Sequence),
@@ -151,6 +163,7 @@
 func (j *Journal) Append(ctx context.Context, payloads [][]byte, state []byte) error {
 	next := head{
 		Writer:   j.settings.Writer,
+		Epoch:    j.settings.Epoch,
 		Sequence: j.head.Sequence,
 		Base:     j.head.Base,
 		Records:  slices.Clone(j.head.Records),
--- a/tanager/tanagerjournal/journal_test.go
+++ b/tanager/tanagerjournal/journal_test.go
@@ -196,3 +196,24 @@
 	c.Assert(errorx.IsOfType(err, Replaced), qt.IsTrue)
 	c.Assert(heir.Sequence(), qt.Equals, uint64(1))
 }
+
+// TestLowerEpochCannotTakeTheJournalBack lets an owner that was paused wake up
+// and load the journal again after its successor has taken it over.
+func TestLowerEpochCannotTakeTheJournalBack(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	store := newMemoryStore()
+	epoch := func(writer string, n uint64) Settings {
+		s := settings(writer)
+		s.Epoch = n
+		return s
+	}
+	heir := New(store, epoch("heir", 5))
+	_, err := heir.Load(ctx)
+	c.Assert(err, qt.IsNil)
+	c.Assert(heir.Append(ctx, [][]byte{[]byte("taken over")}, nil), qt.IsNil)
+	old := New(store, epoch("old", 4))
+	_, err = old.Load(ctx)
+	c.Assert(errorx.IsOfType(err, Fenced), qt.IsTrue, qt.Commentf("%v", err))
+	c.Assert(heir.Append(ctx, [][]byte{[]byte("goes on")}, nil), qt.IsNil)
+}
--- a/tanagerctl/tanagerplay/results.go
+++ b/tanagerctl/tanagerplay/results.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -100,7 +101,26 @@
 			l.outcomes[tanagerfailure.NotRun], l.outcomes[tanagerfailure.Unknown],
 			l.quantile(50), l.quantile(99), l.quantile(100))
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return r.writeCodes(w)
+}
+
+// writeCodes prints how often each failure was the answer.
+func (r *Results) writeCodes(w io.Writer) error {
+	counts := make(map[tanagerfailure.Code]int)
+	for _, result := range r.List() {
+		if result.Code != "" {
+			counts[result.Code]++
+		}
+	}
+	for _, code := range slices.Sorted(maps.Keys(counts)) {
+		if _, err := fmt.Fprintf(w, "answered %s: %d\n", code, counts[code]); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (l *line) quantile(q float64) time.Duration {
--- a/tanagerd/tanagercontrol/control.go
+++ b/tanagerd/tanagercontrol/control.go
@@ -152,11 +152,7 @@
 		return
 	}
 	handler(m, c.Timer.Now())
-	for len(c.loopback) > 0 {
-		next := c.loopback[0]
-		c.loopback = c.loopback[1:]
-		c.Handle(next)
-	}
+	c.flushLoopback()
 }
 
 // Step runs the systems once.
@@ -168,6 +164,7 @@
 	c.dispatchTargets(now)
 	c.writeJournals(now)
 	c.offerTasks(now)
+	c.flushLoopback()
 	c.placeTasks(now)
 	c.flushLoopback()
 }
--- a/tanagerd/tanagercontrol/job.go
+++ b/tanagerd/tanagercontrol/job.go
@@ -122,7 +122,8 @@
 		number: call.Waiter,
 	}
 	js := c.jobs.shards[call.Shard]
-	if js == nil || !js.loaded {
+	// Without a right another owner may have the shard already.
+	if js == nil || !js.loaded || !c.mayAct(now) {
 		c.answerJob(w, tanagermessage.JobAnswer{
 			Failure: tanagerfailure.New(tanagerfailure.NoOwner, "the branch is being taken over").After(c.jitter(time.Second)),
 		})
--- /dev/null
+++ b/tanagerd/tanagercontrol/job_test.go
@@ -0,0 +1,453 @@
+package tanagercontrol
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerfailure"
+	"tanagersail.example/tanager/tanagerjob"
+	"tanagersail.example/tanager/tanagerjournal"
+	"tanagersail.example/tanager/tanagerplatform"
+	"tanagersail.example/tanager/tanagerqueue"
+	"tanagersail.example/tanager/tanagerresource"
+	"tanagersail.example/tanager/tanagershard"
+	"tanagersail.example/tanager/tanagerstore"
+	"tanagersail.example/tanager/tanagerwire"
+	"tanagersail.example/tanagerd/tanagermessage"
+)
+
+// loadJournals answers the loads of job journals that were started.
+func (h *harness) loadJournals(entries ...tanagerjob.Entry) {
+	loads := h.io.loads
+	h.io.loads = nil
+	for _, s := range loads {
+		m := tanagermessage.JournalLoaded{
+			Shard: s,
+			Epoch: h.control.epoch(s),
+		}
+		if s == h.control.shardMap.Of("red") && len(entries) > 0 {
+			m.Recovery = tanagerjournal.Recovery{
+				Records: []tanagerjournal.Record{
+					{
+						Sequence: 1,
+						Payload:  tanagerwire.Encode(entries),
+					},
+				},
+			}
+		}
+		h.say(self, tanagermessage.TopicJournalLoaded, m)
+	}
+}
+
+// written answers the append that is under way in a shard.
+func (h *harness) written(s tanagershard.Shard, err error) {
+	h.say(self, tanagermessage.TopicJournalWritten, tanagermessage.JournalWritten{
+		Shard: s,
+		Epoch: h.control.epoch(s),
+		Err:   err,
+	})
+}
+
+func spec(idempotent bool, tasks int) tanagerjob.Spec {
+	return tanagerjob.Spec{
+		Key:   "nightly",
+		Kind:  tanagerjob.Batch,
+		Class: tanagerqueue.Normal,
+		Tasks: tasks,
+		Resources: tanagerresource.Vector{
+			CPU:    1000,
+			Memory: 1000,
+		},
+		Idempotent: idempotent,
+	}
+}
+
+func (h *harness) submit(waiter uint64, s tanagerjob.Spec) {
+	h.say(self, tanagermessage.TopicJobWanted, tanagermessage.JobWanted{
+		Call: tanagermessage.JobCall{
+			Waiter: waiter,
+			Kind:   tanagermessage.JobSubmit,
+			Branch: "red",
+			Spec:   &s,
+		},
+	})
+}
+
+func (h *harness) jobAnswer(waiter uint64) tanagermessage.JobAnswer {
+	got, ok := h.io.answers[waiter].(tanagermessage.JobAnswer)
+	h.Assert(ok, qt.IsTrue, qt.Commentf("waiter %d has no answer", waiter))
+	return got
+}
+
+// ownRed gives this daemon the shard of branch red, and another daemon the
+// others. The shard's worker is not known yet.
+func (h *harness) ownRed() (tanagershard.Shard, string) {
+	h.shards = tanagershard.New(3, "d2")
+	h.shards.Roster.Members = []string{"d1", "d2", "d3"}
+	red := h.shards.Of("red")
+	h.shards.Shards[red].Owner = "d1"
+	h.shards.Shards[(red+1)%3].Owner = "d3"
+	h.showMap()
+	name := h.named("w", red)
+	h.vms(worker(name))
+	return red, name
+}
+
+// synced answers the sync that is under way with a worker.
+func (h *harness) synced(name string, base int64, version uint64, tasks ...tanagerplatform.TaskReport) {
+	last := h.io.syncs[len(h.io.syncs)-1]
+	h.Assert(last.Worker, qt.Equals, name)
+	h.say(self, tanagermessage.TopicWorkerSynced, tanagermessage.WorkerSynced{
+		Worker: name,
+		Epoch:  last.Call.Epoch,
+		Report: tanagerplatform.SyncReport{
+			LeaseBase: base,
+			Version:   version,
+			Tasks:     tasks,
+		},
+		Sent:         h.timer.Now(),
+		Received:     h.timer.Now(),
+		Acknowledged: last.Call.Acknowledged,
+	})
+}
+
+// readyCell returns a control that owns branch red and one known worker.
+func readyCell(t *testing.T) (*harness, tanagershard.Shard, string) {
+	h := newHarness(t)
+	red, name := h.ownRed()
+	h.loadJournals()
+	h.pass(50*time.Millisecond, true)
+	h.synced(name, 100, 1)
+	h.pass(50*time.Millisecond, true)
+	return h, red, name
+}
+
+// accepted submits a job and lets it be written.
+func (h *harness) accepted(red tanagershard.Shard, s tanagerjob.Spec) string {
+	h.submit(1, s)
+	h.written(red, nil)
+	answer := h.jobAnswer(1)
+	h.Assert(answer.Failure == nil, qt.IsTrue, qt.Commentf("%v", answer.Failure))
+	return answer.Jobs[0].ID
+}
+
+// startAll answers the start calls that were sent: the worker starts everything.
+func (h *harness) startAll(err error) []tanagerplatform.Task {
+	var tasks []tanagerplatform.Task
+	starts := h.io.starts
+	h.io.starts = nil
+	for _, order := range starts {
+		started := tanagermessage.TasksStarted{
+			Worker: order.Worker,
+			Epoch:  order.Call.Epoch,
+			Err:    err,
+		}
+		for _, task := range order.Call.Tasks {
+			tasks = append(tasks, task)
+			started.Tasks = append(started.Tasks, task.ID)
+			if err == nil {
+				started.Report.Started = append(started.Report.Started, task.ID)
+			}
+		}
+		h.say(self, tanagermessage.TopicTasksStarted, started)
+	}
+	return tasks
+}
+
+func (h *harness) job(id string) *tanagerjob.Job {
+	shard, _ := tanagerjob.ShardOf(id)
+	return h.control.jobs.shards[tanagershard.Shard(shard)].table.Job(id)
+}
+
+func TestJobIsAcceptedOnlyOnceItIsInTheStore(t *testing.T) {
+	h, red, _ := readyCell(t)
+	h.submit(1, spec(true, 1))
+	_, answered := h.io.answers[1]
+	h.Assert(answered, qt.IsFalse)
+	h.Assert(h.io.appends, qt.HasLen, 1)
+	h.written(red, tanagerstore.Unavailable.New("down"))
+	h.Assert(h.jobAnswer(1).Failure.Code, qt.Equals, tanagerfailure.StoreUnavailable)
+	h.Assert(h.jobAnswer(1).Failure.RetryAfter > 0, qt.IsTrue)
+	// While the store is out further jobs are refused at once.
+	h.submit(2, spec(true, 1))
+	h.Assert(h.jobAnswer(2).Failure.Code, qt.Equals, tanagerfailure.StoreUnavailable)
+	h.pass(time.Second, true)
+	id := h.accepted(red, spec(true, 1))
+	// A repeated key is the same job.
+	h.submit(4, spec(true, 1))
+	h.Assert(h.jobAnswer(4).Jobs[0].ID, qt.Equals, id)
+}
+
+func TestOwnerWithoutRightSaysNothingAboutJobs(t *testing.T) {
+	h, red, _ := readyCell(t)
+	h.accepted(red, spec(true, 1))
+	h.pass(4*time.Second, false)
+	for waiter, call := range map[uint64]tanagermessage.JobCall{
+		10: {
+			Kind: tanagermessage.JobShow,
+			ID:   tanagerjob.ID(int(red), 9, 1),
+		},
+		11: {
+			Kind: tanagermessage.JobSubmit,
+			Spec: &tanagerjob.Spec{},
+		},
+	} {
+		call.Waiter = waiter
+		call.Shard = red
+		call.Branch = "red"
+		h.say(self, tanagermessage.TopicJobWanted, tanagermessage.JobWanted{
+			Call: call,
+		})
+		h.Check(h.jobAnswer(waiter).Failure.Code, qt.Equals, tanagerfailure.NoOwner)
+	}
+}
+
+func TestAmbiguousAcceptanceIsSettledByReadingTheJournal(t *testing.T) {
+	for _, inStore := range []bool{false, true} {
+		h, red, _ := readyCell(t)
+		h.submit(1, spec(true, 1))
+		entries := h.io.appends[0]
+		h.written(red, tanagerstore.Ambiguous.New("lost"))
+		_, answered := h.io.answers[1]
+		h.Assert(answered, qt.IsFalse)
+		h.Assert(h.io.loads, qt.HasLen, 1)
+		if inStore {
+			h.loadJournals(entries...)
+			h.Assert(h.jobAnswer(1).Jobs, qt.HasLen, 1)
+			continue
+		}
+		h.loadJournals()
+		h.Assert(h.jobAnswer(1).Failure.Code, qt.Equals, tanagerfailure.StoreUnavailable)
+	}
+}
+
+func TestTaskStartsElsewhereOnlyAfterTheLeaseHasLapsed(t *testing.T) {
+	h, red, _ := readyCell(t)
+	id := h.accepted(red, spec(true, 1))
+	h.Assert(h.startAll(nil), qt.HasLen, 1)
+	h.Assert(h.job(id).Tasks[0].State, qt.Equals, tanagerjob.Running)
+	// The worker falls silent. One task lease, drift and slack must pass.
+	h.pass(6*time.Second, true)
+	h.Assert(h.job(id).Tasks[0].State, qt.Equals, tanagerjob.Running)
+	h.pass(700*time.Millisecond, true)
+	h.Assert(h.job(id).Tasks[0].State, qt.Not(qt.Equals), tanagerjob.Running)
+}
+
+func TestUnansweredStartIsSettledByTheWorkersWord(t *testing.T) {
+	h, red, name := readyCell(t)
+	id := h.accepted(red, spec(true, 1))
+	h.startAll(tanagerplatform.Unanswered.New("lost"))
+	h.pass(time.Second, true)
+	// A report that lacks the task proves nothing while the call may still
+	// arrive.
+	h.synced(name, 200, 1)
+	h.pass(time.Second, true)
+	h.Assert(h.job(id).Tasks[0].State, qt.Equals, tanagerjob.Offered)
+	h.Assert(h.io.starts, qt.HasLen, 0)
+	for range 6 {
+		h.pass(time.Second, true)
+		h.synced(name, 300, 1)
+	}
+	h.pass(time.Second, true)
+	h.synced(name, 400, 1)
+	h.pass(200*time.Millisecond, true)
+	h.Assert(h.io.starts, qt.HasLen, 1, qt.Commentf("the task is offered again"))
+}
+
+func TestFencedOwnerStopsUsingTheWorker(t *testing.T) {
+	h, red, name := readyCell(t)
+	last := h.io.syncs[len(h.io.syncs)-1]
+	h.say(self, tanagermessage.TopicWorkerSynced, tanagermessage.WorkerSynced{
+		Worker: name,
+		Epoch:  last.Call.Epoch,
+		Err:    tanagerplatform.Fenced.New("%s", name),
+	})
+	h.accepted(red, spec(true, 1))
+	h.pass(time.Second, true)
+	h.Assert(h.io.starts, qt.HasLen, 0)
+}
+
+func TestNewOwnerStartsNothingUntilTheWorkersHaveTold(t *testing.T) {
+	h := newHarness(t)
+	red, name := h.ownRed()
+	accept := tanagerjob.Entry{
+		Accept: &tanagerjob.AcceptEntry{
+			ID:       tanagerjob.ID(int(red), 1, 1),
+			Branch:   "red",
+			Spec:     spec(true, 2),
+			Epoch:    1,
+			Accepted: h.timer.Now(),
+		},
+	}
+	h.loadJournals(accept)
+	h.pass(500*time.Millisecond, true)
+	// The worker runs the first task since the time of the earlier owner.
+	running := tanagerplatform.TaskReport{
+		ID:    accept.Accept.ID + "/0/7",
+		State: tanagerplatform.Running,
+		Record: tanagerwire.Encode(taskRecord{
+			Shard: red,
+			Ref: tanagerjob.TaskRef{
+				Job:     accept.Accept.ID,
+				Index:   0,
+				Attempt: 7,
+			},
+			Branch:    "red",
+			Kind:      tanagerjob.Batch,
+			Resources: spec(true, 2).Resources,
+		}),
+	}
+	h.synced(name, 100, 1, running)
+	h.pass(500*time.Millisecond, true)
+	h.Assert(h.io.starts, qt.HasLen, 0)
+	// The other shards' owners answer, and the list has had its lag.
+	h.vms()
+	for _, shard := range []tanagershard.Shard{0, 1, 2} {
+		h.say(h.shards.Shards[shard].Owner, tanagermessage.TopicJobRecovered, tanagermessage.JobRecovered{
+			Shard: red,
+			Epoch: 1,
+			Complete: []tanagermessage.ShardEpoch{
+				{
+					Shard: shard,
+					Epoch: 1,
+				},
+			},
+		})
+	}
+	h.pass(2*time.Second, true)
+	tasks := h.startAll(nil)
+	h.Assert(tasks, qt.HasLen, 1)
+	h.Assert(h.job(accept.Accept.ID).Tasks[0].Attempt, qt.Equals, 7)
+	h.Assert(h.job(accept.Accept.ID).Tasks[1].State, qt.Equals, tanagerjob.Running)
+}
+
+func TestTaskThatIsNotIdempotentIsUnknownWhenNoWorkerKnowsIt(t *testing.T) {
+	h := newHarness(t)
+	red, name := h.ownRed()
+	id := tanagerjob.ID(int(red), 1, 1)
+	h.loadJournals(tanagerjob.Entry{
+		Accept: &tanagerjob.AcceptEntry{
+			ID:       id,
+			Branch:   "red",
+			Spec:     spec(false, 2),
+			Epoch:    1,
+			Accepted: h.timer.Now(),
+		},
+	}, tanagerjob.Entry{
+		Attempt: &tanagerjob.AttemptEntry{
+			Job:   id,
+			Index: 0,
+		},
+	})
+	h.pass(500*time.Millisecond, true)
+	h.synced(name, 100, 1)
+	h.pass(time.Second, true)
+	h.vms()
+	for shard, a := range h.shards.Shards {
+		h.say(a.Owner, tanagermessage.TopicJobRecovered, tanagermessage.JobRecovered{
+			Shard: red,
+			Epoch: 1,
+			Complete: []tanagermessage.ShardEpoch{
+				{
+					Shard: tanagershard.Shard(shard),
+					Epoch: 1,
+				},
+			},
+		})
+	}
+	h.pass(100*time.Millisecond, true)
+	h.written(red, nil)
+	job := h.job(id)
+	h.Assert(job.Tasks[0].Outcome, qt.Equals, tanagerfailure.Unknown)
+	h.Assert(job.Tasks[1].Outcome, qt.Equals, tanagerfailure.Outcome(""))
+}
+
+func TestOfferOfAnEarlierOwnerIsRefused(t *testing.T) {
+	h, red, _ := readyCell(t)
+	other := (red + 1) % 3
+	h.say("d3", tanagermessage.TopicJobRecover, tanagermessage.JobRecover{
+		Shard: other,
+		Epoch: 5,
+	})
+	h.say("d2", tanagermessage.TopicTaskOffer, tanagermessage.TaskOffer{
+		Shard:     other,
+		Epoch:     4,
+		Ref:       tanagerjob.TaskRef{Job: "j1-4-1"},
+		Branch:    "red",
+		Kind:      tanagerjob.Batch,
+		Resources: spec(true, 1).Resources,
+	})
+	h.Assert(h.io.starts, qt.HasLen, 0)
+	answers := take[tanagermessage.TaskAnswer](h.C, h.out, tanagermessage.TopicTaskAnswer)
+	h.Assert(answers, qt.HasLen, 1)
+	h.Assert(answers[0].Verdict, qt.Equals, tanagermessage.TaskRefused)
+}
+
+func TestLateOfferOfAWithdrawnAttemptIsRefused(t *testing.T) {
+	h, red, _ := readyCell(t)
+	other := (red + 1) % 3
+	ref := tanagerjob.TaskRef{
+		Job:     "j1-1-1",
+		Attempt: 3,
+	}
+	h.say("d3", tanagermessage.TopicTaskStop, tanagermessage.TaskStop{
+		Shard: other,
+		Epoch: 1,
+		Ref:   ref,
+	})
+	h.say("d3", tanagermessage.TopicTaskOffer, tanagermessage.TaskOffer{
+		Shard:     other,
+		Epoch:     1,
+		Ref:       ref,
+		Branch:    "red",
+		Kind:      tanagerjob.Batch,
+		Resources: spec(true, 1).Resources,
+	})
+	h.Assert(h.io.starts, qt.HasLen, 0)
+}
+
+func TestQuotaIsNeverExceeded(t *testing.T) {
+	h, red, _ := readyCell(t)
+	record := tanagerwire.Encode(quotaRecord(h.timer.Now()))
+	h.configure(record, record)
+	h.accepted(red, spec(true, 10))
+	h.pass(100*time.Millisecond, true)
+	h.Assert(h.startAll(nil), qt.HasLen, 3)
+	h.pass(2*time.Second, true)
+	h.Assert(h.startAll(nil), qt.HasLen, 0)
+}
+
+func TestOlderGangTakesTheRoomOfAYoungerOne(t *testing.T) {
+	h, red, _ := readyCell(t)
+	ask := tanagermessage.GangReserve{
+		Shard:  red,
+		Epoch:  1,
+		Job:    "young",
+		Round:  1,
+		Branch: "red",
+		Resources: tanagerresource.Vector{
+			CPU: 4000,
+		},
+		Count:    3,
+		Accepted: h.timer.Now(),
+	}
+	h.say("d2", tanagermessage.TopicGangReserve, ask)
+	older := ask
+	older.Job = "old"
+	older.Count = 4
+	older.Accepted = ask.Accepted.Add(-time.Minute)
+	h.say("d3", tanagermessage.TopicGangReserve, older)
+	h.say("d2", tanagermessage.TopicGangReserve, ask)
+	answers := take[tanagermessage.GangReserved](h.C, h.out, tanagermessage.TopicGangReserved)
+	var counts []int
+	for _, a := range answers {
+		counts = append(counts, a.Count)
+	}
+	// The young gang gets 3, loses them to the old one, and then finds nothing.
+	h.Assert(counts, qt.DeepEquals, []int{3, 0, 4, 0})
+	// A reservation that nobody renews is freed.
+	h.pass(2100*time.Millisecond, true)
+	h.Assert(h.control.workers.fleet.Held().IsZero(), qt.IsTrue)
+}
--- a/tanagerd/tanagercontrol/journal.go
+++ b/tanagerd/tanagercontrol/journal.go
@@ -100,6 +100,10 @@
 	if m.Err != nil {
 		c.Log.Warn().Str("event", "journal_load_failed").Int("shard", int(m.Shard)).Err(m.Err).Send()
 		js.retryAt = now.Add(journalRetry)
+		if errorx.IsOfType(m.Err, tanagerjournal.Fenced) {
+			// The newer map that names the successor is on its way.
+			c.closeJournal(m.Shard)
+		}
 		return
 	}
 	if err := replayJobs(js.table, m.Recovery); err != nil {
--- a/tanagerd/tanagercontrol/worker.go
+++ b/tanagerd/tanagercontrol/worker.go
@@ -229,6 +229,7 @@
 	switch {
 	case errorx.IsOfType(m.Err, tanagerplatform.Fenced):
 		row.fenced = true
+		c.workers.open(c, row)
 		c.counters.fenced++
 		c.Log.Warn().Str("event", "worker_fenced").Str("vm", m.Worker).Send()
 		return
--- a/tanagerd/tanagertraffic/traffic.go
+++ b/tanagerd/tanagertraffic/traffic.go
@@ -202,6 +202,7 @@
 	journal := tanagerjournal.New(t.Store, tanagerjournal.Settings{
 		Prefix:      JobPrefix(shard),
 		Writer:      t.Self + "/" + strconv.FormatUint(epoch, 10) + "/" + strconv.FormatInt(t.Timer.Now().UnixNano(), 36),
+		Epoch:       epoch,
 		Window:      jobWindow,
 		WindowBytes: jobWindowBytes,
 	})
