Send a request to the daemon that issued its id; deterministic CBOR

Cause: play took its id from one daemon and sent the request to the next, so a daemon that was cut off never ran a request of its own in isolated_owner, and the script could not fail. Ruled out: a fault of the right (d2 had none and had nothing in flight).

--- /dev/null
+++ b/tanager/tanagerburn/burn_test.go
@@ -0,0 +1,106 @@
+package tanagerburn
+
+import (
+	"bytes"
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var now = time.Date(2026, time.March, 1, 12, 0, 30, 0, time.UTC)
+
+var key = Key{
+	Branch: "rosenheim",
+	Class:  "urgent",
+}
+
+func report(c *qt.C, ledgers ...*Ledger) Report {
+	var exports []Export
+	for _, l := range ledgers {
+		e, err := l.Export()
+		c.Assert(err, qt.IsNil)
+		exports = append(exports, e)
+	}
+	merged, err := Merge(exports...)
+	c.Assert(err, qt.IsNil)
+	return NewReport(merged, now)
+}
+
+func TestBurnRatesOverTheWindows(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger(DefaultObjectives())
+	// Two hours ago everything was good; in the last three minutes 2% was bad,
+	// by waiting for too long or by being refused. The objective allows 0.1%.
+	for range 900 {
+		l.Observe(key, time.Second, true, now.Add(-2*time.Hour))
+	}
+	for i := range 1000 {
+		at := now.Add(-time.Duration(i%3) * time.Minute)
+		switch i % 100 {
+		case 0:
+			l.Observe(key, 4*time.Second, true, at)
+		case 1:
+			l.Observe(key, 0, false, at)
+		default:
+			l.Observe(key, 10*time.Millisecond, true, at)
+		}
+	}
+	r := report(c, l)
+	c.Assert(r.Rows, qt.HasLen, 1)
+	row := r.Rows[0]
+	c.Check(row.Good, qt.Equals, uint64(1880))
+	c.Check(row.Bad, qt.Equals, uint64(20))
+	c.Check(math.Abs(row.Burn[0]-20) < 0.01, qt.IsTrue, qt.Commentf("%v", row.Burn))
+	c.Check(math.Abs(row.Burn[1]-1000.0*20/1900) < 0.01, qt.IsTrue, qt.Commentf("%v", row.Burn))
+	c.Check(row.Alert, qt.Equals, "page")
+	c.Check(row.P50 > 900*time.Microsecond && row.P50 < 1100*time.Millisecond, qt.IsTrue)
+}
+
+func TestOldBadMinutesAloneDoNotAlert(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger(DefaultObjectives())
+	for range 100 {
+		l.Observe(key, 0, false, now.Add(-50*time.Minute))
+	}
+	l.Observe(key, 0, true, now)
+	c.Assert(report(c, l).Rows[0].Alert, qt.Not(qt.Equals), "page")
+	// A day later only the new minute is left.
+	l.Observe(key, 0, true, now.Add(24*time.Hour))
+	e, err := l.Export()
+	c.Assert(err, qt.IsNil)
+	c.Assert(e.Series[0].Minutes, qt.HasLen, 1)
+}
+
+func TestLedgersAddUp(t *testing.T) {
+	c := qt.New(t)
+	a, b := NewLedger(DefaultObjectives()), NewLedger(DefaultObjectives())
+	for range 10 {
+		a.Observe(key, time.Millisecond, true, now)
+		b.Observe(key, time.Minute, true, now)
+	}
+	row := report(c, a, b).Rows[0]
+	c.Check(row.Good, qt.Equals, uint64(10))
+	c.Check(row.Bad, qt.Equals, uint64(10))
+	c.Check(row.P99 > 59*time.Second, qt.IsTrue)
+	c.Check(row.P50 < 2*time.Millisecond, qt.IsTrue)
+}
+
+func TestReportsAreWhole(t *testing.T) {
+	c := qt.New(t)
+	l := NewLedger(DefaultObjectives())
+	l.Observe(key, time.Millisecond, true, now)
+	l.Observe(Key{
+		Branch: "<script>",
+		Class:  "batch",
+	}, time.Hour, true, now)
+	r := report(c, l)
+	var text, page bytes.Buffer
+	c.Assert(r.WriteText(&text), qt.IsNil)
+	c.Assert(text.String(), qt.Contains, "99.9% in 3.9s")
+	c.Assert(r.WriteHTML(&page), qt.IsNil)
+	c.Assert(page.String(), qt.Contains, "<svg")
+	c.Assert(page.String(), qt.Not(qt.Contains), "<script>")
+	c.Assert(page.String(), qt.Not(qt.Contains), "http-equiv")
+}
--- /dev/null
+++ b/tanager/tanagerrequest/registry_test.go
@@ -0,0 +1,97 @@
+package tanagerrequest
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerfailure"
+)
+
+var start = time.Date(2026, time.March, 1, 0, 0, 0, 0, time.UTC)
+
+func newRegistry() *Registry[string] {
+	return NewRegistry[string](Settings{
+		Home:   "d1",
+		Window: time.Minute,
+		Keep:   2 * time.Minute,
+	}, start)
+}
+
+func TestFirstUseRunsAndRepeatsFindIt(t *testing.T) {
+	c := qt.New(t)
+	r := newRegistry()
+	id := r.Mint(start.Add(time.Second))
+	key := Key{
+		Branch: "red",
+		Digest: 1,
+	}
+	value, fresh, failure := r.Begin(id, key, start.Add(2*time.Second))
+	c.Assert(failure == nil && fresh, qt.IsTrue)
+	*value = "outcome"
+	again, fresh, failure := r.Begin(id, key, start.Add(90*time.Second))
+	c.Assert(failure == nil && !fresh, qt.IsTrue)
+	c.Assert(*again, qt.Equals, "outcome")
+	for _, other := range []Key{
+		{
+			Branch: "blue",
+			Digest: 1,
+		},
+		{
+			Branch: "red",
+			Digest: 2,
+		},
+	} {
+		_, _, failure = r.Begin(id, other, start)
+		c.Check(failure.Code, qt.Equals, tanagerfailure.RequestIDReused)
+	}
+}
+
+// TestForgottenIDNeverRunsAgain follows an id beyond the time for which its
+// request is remembered.
+func TestForgottenIDNeverRunsAgain(t *testing.T) {
+	c := qt.New(t)
+	r := newRegistry()
+	id := r.Mint(start)
+	_, _, failure := r.Begin(id, Key{}, start.Add(time.Minute))
+	c.Assert(failure == nil, qt.IsTrue)
+	r.Expire(start.Add(3*time.Minute), func(*string) bool { return false })
+	c.Assert(r.Len(), qt.Equals, 1)
+	r.Expire(start.Add(3*time.Minute), func(*string) bool { return true })
+	c.Assert(r.Len(), qt.Equals, 0)
+	_, _, failure = r.Begin(id, Key{}, start.Add(3*time.Minute))
+	c.Assert(failure.Code, qt.Equals, tanagerfailure.RequestIDExpired)
+	c.Assert(failure.Outcome, qt.Equals, tanagerfailure.Unknown)
+}
+
+func TestIDsThatWereNeverIssuedAreRefused(t *testing.T) {
+	c := qt.New(t)
+	r := newRegistry()
+	id := r.Mint(start)
+	parsed, failure := Parse(id.String())
+	c.Assert(failure == nil, qt.IsTrue)
+	c.Assert(parsed, qt.Equals, id)
+	id.Number++
+	_, _, failure = r.Begin(id, Key{}, start)
+	c.Assert(failure.Code, qt.Equals, tanagerfailure.InvalidField)
+	for _, text := range []string{"", "d1", "d1.x", "d1.-1.1", "d1.1.!", ".1.1", "a.b.c.d"} {
+		_, failure := Parse(text)
+		c.Check(failure, qt.Not(qt.IsNil), qt.Commentf("%q", text))
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("d1-0a1b2c3d.2jb.1")
+	f.Add("d1..")
+	f.Fuzz(func(t *testing.T, text string) {
+		id, failure := Parse(text)
+		if failure != nil {
+			return
+		}
+		again, failure := Parse(id.String())
+		if failure != nil || again != id {
+			t.Fatalf("%q became %v", text, again)
+		}
+	})
+}
--- a/tanager/tanagerwire/codec.go
+++ b/tanager/tanagerwire/codec.go
@@ -14,7 +14,19 @@
 // maxElements bounds arrays and maps in one message, against corrupt input.
 const maxElements = 1 << 20
 
-var decoder = newDecoder()
+var (
+	encoder = newEncoder()
+	decoder = newDecoder()
+)
+
+// newEncoder returns the deterministic encoding: equal values have equal bytes.
+func newEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
 
 func newDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
@@ -27,10 +39,10 @@
 	return mode
 }
 
-// Encode returns the CBOR form of v. It panics if v holds a type that CBOR
+// Encode returns the CBOR form of v; equal values have equal bytes. It panics if v holds a type that CBOR
 // cannot represent, which is a programming error.
 func Encode(v any) []byte {
-	b, err := cbor.Marshal(v)
+	b, err := encoder.Marshal(v)
 	if err != nil {
 		panic(err)
 	}
--- a/tanagerctl/tanagerclient/client.go
+++ b/tanagerctl/tanagerclient/client.go
@@ -55,6 +55,7 @@
 	settings Settings
 	http     *http.Client
 	next     atomic.Uint64
+	sticky   bool
 }
 
 // New returns a client. Calls take as long as their context allows.
@@ -72,6 +73,27 @@
 	}
 }
 
+// Sticky returns a client whose calls all go to one daemon, the next in turn, as
+// long as that can be connected to. A request id is best used at the daemon that
+// issued it.
+func (c *Client) Sticky() *Client {
+	s := &Client{
+		settings: c.settings,
+		http:     c.http,
+		sticky:   true,
+	}
+	s.next.Store(c.next.Add(1))
+	return s
+}
+
+// first returns the number of the daemon that the next call tries first.
+func (c *Client) first() uint64 {
+	if c.sticky {
+		return c.next.Load()
+	}
+	return c.next.Add(1)
+}
+
 // Daemons returns the addresses that the client knows.
 func (c *Client) Daemons() []netip.AddrPort { return c.settings.Daemons }
 
@@ -92,7 +114,7 @@
 
 // send sends a call to the next daemon that can be connected to.
 func (c *Client) send(ctx context.Context, k call) (answer, error) {
-	first := c.next.Add(1)
+	first := c.first()
 	var last error
 	for i := range c.settings.Daemons {
 		n := (first + uint64(i)) % uint64(len(c.settings.Daemons))
--- a/tanagerctl/tanagerplay/play.go
+++ b/tanagerctl/tanagerplay/play.go
@@ -147,6 +147,7 @@
 		Class:      className(g.Class),
 		Idempotent: g.Idempotent,
 	}
+	client = client.Sticky()
 	ids, err := client.RequestIDs(ctx, 1)
 	if err != nil {
 		result.Outcome = tanagerfailure.NotRun
