--- a/tanager/tanagertimer/timer.go
+++ b/tanager/tanagertimer/timer.go
@@ -127,6 +127,7 @@
 		c:        make(chan time.Time, 1),
 	}
 	m.pending[t] = struct{}{}
+	m.fire(t)
 	return &Subscription{
 		C:    t.c,
 		stop: func() { m.remove(t) },
--- a/tanagerd/main.go
+++ b/tanagerd/main.go
@@ -42,6 +42,6 @@
 	if err == nil {
 		return
 	}
-	fmt.Fprintln(os.Stderr, "tanagerd:", err)
+	fmt.Fprintf(os.Stderr, "tanagerd: %v\n", err)
 	os.Exit(1)
 }
--- a/tanagerd/serve.go
+++ b/tanagerd/serve.go
@@ -46,7 +46,7 @@
 	peerDialTimeout = 500 * time.Millisecond
 	peerWriteLimit  = 2 * time.Second
 	vmCallTimeout   = 2 * time.Second
-	tickInterval    = 10 * time.Millisecond
+	tickInterval    = 50 * time.Millisecond
 	drainLimit      = 60 * time.Second
 	shutdownLimit   = 30 * time.Second
 )
--- a/tanagerd/tanagercontrol/settings.go
+++ b/tanagerd/tanagercontrol/settings.go
@@ -43,7 +43,7 @@
 	promiseInterval  = 250 * time.Millisecond
 	statusInterval   = 100 * time.Millisecond
 	recoverInterval  = 300 * time.Millisecond
-	sweepInterval    = 20 * time.Millisecond
+	sweepInterval    = 50 * time.Millisecond
 	rulesInterval    = time.Second
 	recountInterval  = time.Second
 	takeOverSpacing  = 300 * time.Millisecond
--- a/tanagerd/tanagersettings/settings.go
+++ b/tanagerd/tanagersettings/settings.go
@@ -143,7 +143,7 @@
 func Parse(content []byte) (Settings, error) {
 	s := Default()
 	if err := yaml.UnmarshalWithOptions(content, &s, yaml.Strict()); err != nil {
-		return Settings{}, Malformed.New("%s", yaml.FormatError(err, false, true))
+		return Settings{}, explain(err, content)
 	}
 	if !s.Daemon.PeerListen.IsValid() {
 		s.Daemon.PeerListen = s.Daemon.PeerAddress
--- /dev/null
+++ b/tanagerfake/tanagerkv/client_test.go
@@ -0,0 +1,144 @@
+package tanagerkv
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+
+	"tanagersail.example/tanager/tanagerstore"
+	"tanagersail.example/tanager/tanagertimer"
+)
+
+// newStore returns the stand-in, whose leases run on a clock that the test
+// moves, and a client of it.
+func newStore(c *qt.C, caller string) (*Server, *tanagertimer.Manual, *tanagerstore.Client, netip.AddrPort) {
+	timer := tanagertimer.NewManual(time.Date(2026, time.March, 1, 0, 0, 0, 0, time.UTC))
+	server := New(timer)
+	listener := httptest.NewServer(server.Handler())
+	c.Cleanup(listener.Close)
+	address := netip.MustParseAddrPort(listener.Listener.Addr().String())
+	return server, timer, newClient(address, caller), address
+}
+
+func newClient(address netip.AddrPort, caller string) *tanagerstore.Client {
+	return tanagerstore.NewClient(tanagerstore.Settings{
+		Address:         address,
+		Caller:          caller,
+		CallTimeout:     5 * time.Second,
+		WritesPerSecond: 1000,
+		ReadsPerSecond:  1000,
+	}, tanagertimer.NewReal())
+}
+
+func put(ctx context.Context, client *tanagerstore.Client, key, value string, expected uint64) (tanagerstore.Entry, error) {
+	return client.Swap(ctx, tanagerstore.Swap{
+		Key:      key,
+		Value:    []byte(value),
+		Expected: expected,
+	})
+}
+
+func TestLostAnswersAreRecognisedAsOwnWrites(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server, _, client, _ := newStore(c, "d1")
+	server.SetFaults(Faults{
+		LoseAnswers: 2,
+	})
+	entry, err := put(ctx, client, "k", "mine", 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(entry.Revision, qt.Equals, uint64(1))
+	snapshot, err := client.Read(ctx, "k")
+	c.Assert(err, qt.IsNil)
+	c.Assert(snapshot.Revision, qt.Equals, uint64(1), qt.Commentf("the write took effect once"))
+}
+
+// TestLostAnswerThenForeignWriteIsAmbiguous changes the key between the write
+// whose answer is lost and the client's next look at it.
+func TestLostAnswerThenForeignWriteIsAmbiguous(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server, _, client, _ := newStore(c, "d1")
+	server.SetFaults(Faults{
+		LoseAnswers: 1,
+	})
+	server.afterLoss = func() {
+		_, swapped := server.table.swap(tanagerstore.Swap{
+			Key:      "k",
+			Value:    []byte("foreign"),
+			Expected: 1,
+		})
+		c.Check(swapped, qt.IsTrue)
+	}
+	_, err := put(ctx, client, "k", "mine", 0)
+	c.Assert(errorx.IsOfType(err, tanagerstore.Ambiguous), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+func TestConflictBringsTheEntryThatWon(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	_, _, client, _ := newStore(c, "d1")
+	_, err := put(ctx, client, "k", "first", 0)
+	c.Assert(err, qt.IsNil)
+	entry, err := put(ctx, client, "k", "second", 0)
+	c.Assert(errorx.IsOfType(err, tanagerstore.Conflict), qt.IsTrue)
+	c.Assert(string(entry.Value), qt.Equals, "first")
+}
+
+func TestOutageAndBudgetAreCertainRefusals(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server, _, client, address := newStore(c, "d1")
+	server.SetFaults(Faults{
+		Refuse: []string{"d1"},
+	})
+	_, err := put(ctx, client, "k", "v", 0)
+	c.Assert(errorx.IsOfType(err, tanagerstore.Unavailable), qt.IsTrue)
+	_, err = put(ctx, newClient(address, "d2"), "k", "v", 0)
+	c.Assert(err, qt.IsNil)
+	frugal := tanagerstore.NewClient(tanagerstore.Settings{
+		Address:         address,
+		CallTimeout:     time.Second,
+		WritesPerSecond: 1,
+		ReadsPerSecond:  1,
+	}, tanagertimer.NewManual(time.Unix(0, 0)))
+	for range 3 {
+		_, err = frugal.GrantLease(ctx, time.Second)
+		c.Assert(err, qt.IsNil)
+	}
+	_, err = frugal.GrantLease(ctx, time.Second)
+	c.Assert(errorx.IsOfType(err, tanagerstore.OverBudget), qt.IsTrue)
+}
+
+func TestLeasesLapseButNotDuringAnOutage(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	server, timer, client, _ := newStore(c, "d1")
+	id, err := client.GrantLease(ctx, time.Second)
+	c.Assert(err, qt.IsNil)
+	_, err = client.Swap(ctx, tanagerstore.Swap{
+		Key:   "member",
+		Value: []byte("d1"),
+		Lease: id,
+	})
+	c.Assert(err, qt.IsNil)
+	server.SetFaults(Faults{
+		Outage: true,
+	})
+	timer.Advance(time.Minute)
+	server.SetFaults(Faults{})
+	server.table.expire()
+	c.Assert(client.RenewLease(ctx, id), qt.IsNil)
+	timer.Advance(1100 * time.Millisecond)
+	server.table.expire()
+	c.Assert(errorx.IsOfType(client.RenewLease(ctx, id), tanagerstore.LeaseGone), qt.IsTrue)
+	changes, err := client.Watch(ctx, "member", 1, time.Second)
+	c.Assert(err, qt.IsNil)
+	c.Assert(changes.Entries, qt.HasLen, 1)
+	c.Assert(changes.Entries[0].Deleted, qt.IsTrue)
+}
--- a/tanagerfake/tanagerkv/server.go
+++ b/tanagerfake/tanagerkv/server.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	faults Faults
 	calls  Calls
+	// afterLoss, if set, is called after a swap whose answer is lost.
+	afterLoss func()
 }
 
 // New returns an empty service.
@@ -167,6 +169,9 @@
 	}
 	entry, swapped := s.table.swap(body)
 	if s.loseAnswer() {
+		if s.afterLoss != nil {
+			s.afterLoss()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	answer(w, struct {
