Tell peers only what has changed; ask for branch use only for a plan

Ruled out: gossip to a few random peers only (at nine daemons the silence of an owner would be noticed later). Change: a message that says only "same" (7 B) when nothing has changed, whole at least every 2 s; every 400 ms; what branches hold is asked for when a plan is wanted and encoded as arrays (23 B a branch); answers carry the owner's load.

--- a/Makefile
+++ b/Makefile
@@ -16,3 +16,10 @@
 
 lint:
 	./scripts/lint.sh
+
+bench:
+	cd tanagerbench && go build -o $(BIN)/tanagerbench .
+	$(BIN)/tanagerbench all
+
+format:
+	gofmt -s -w $(MODULES)
--- /dev/null
+++ b/scripts/slope.sh
@@ -0,0 +1,65 @@
+#!/usr/bin/env bash
+# Measures one daemon at rest with two numbers of workers and prints what each
+# worker adds: processor time, memory and bytes through all of its sockets.
+# Usage: scripts/slope.sh FEW MANY TASKS
+set -euo pipefail
+cd "$(dirname "$0")/.."
+few=${1:-50} many=${2:-400} tasks=${3:-0}
+seconds=20
+ticks=$(getconf CLK_TCK)
+dir=$(mktemp -d)
+pids=()
+finish() {
+  for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  pids=()
+}
+trap finish EXIT
+run() {
+  local workers=$1 tasks=$2 pid
+  printf 'list_lag: 100ms\nusage_lag: 1s\nleaving_grace: 3s\nworkers:\n  - {rack: a, failure_domain: a, region: south, count: %d, cores: 60, memory_mib: 250000}\n' "$workers" >"$dir/fleet.yaml"
+  cat >"$dir/d1.yaml" <<YAML
+daemon: {name: d1, failure_domain: a, region: south, http_address: "127.0.0.1:15911", peer_address: "127.0.0.1:15912", peer_token: measure-peer-token}
+platform: {store: "127.0.0.1:15913", vm_list: "127.0.0.1:15914"}
+cell: {task_lease: 30s}
+callers: [{token: measure-caller-token, branch: cho-lon}]
+operators: [{token: measure-operator-token, name: centre}]
+YAML
+  printf -- '- {kind: set_branch, branch: cho-lon, rules: {weight: 1}}\n' >"$dir/branches.yaml"
+  printf '{key: services, kind: service, tasks: %d, resources: {cpu_milli: 1000, memory_mib: 1000}, idempotent: true}\n' "$tasks" >"$dir/job.yaml"
+  bin/tanagerfake store --address 127.0.0.1:15913 >"$dir/store.log" 2>&1 &
+  pids+=($!)
+  bin/tanagerfake fleet --address 127.0.0.1:15914 --file "$dir/fleet.yaml" >"$dir/fleet.log" 2>&1 &
+  pids+=($!)
+  bin/tanagerd run --settings "$dir/d1.yaml" >"$dir/d1.log" 2>&1 &
+  pid=$!
+  pids+=("$pid")
+  export TANAGER_DAEMONS=127.0.0.1:15911
+  until curl -sf -o /dev/null http://127.0.0.1:15911/health/ready; do sleep 0.1; done
+  TANAGER_TOKEN=measure-operator-token bin/tanagerctl apply "$dir/branches.yaml" >/dev/null
+  if [ "$tasks" -gt 0 ]; then
+    sleep 3
+    TANAGER_TOKEN=measure-caller-token bin/tanagerctl job submit "$dir/job.yaml" >/dev/null
+  fi
+  sleep 12
+  local c0 c1 b0 b1
+  c0=$(awk '{print $14 + $15}' "/proc/$pid/stat") b0=$(awk '/^[rw]char/ {s += $2} END {print s}' "/proc/$pid/io")
+  sleep "$seconds"
+  c1=$(awk '{print $14 + $15}' "/proc/$pid/stat") b1=$(awk '/^[rw]char/ {s += $2} END {print s}' "/proc/$pid/io")
+  rss=$(awk '/VmRSS/ {print $2}' "/proc/$pid/status")
+  cpu=$((c1 - c0)) bytes=$((b1 - b0))
+  finish
+  awk -v w="$workers" -v k="$tasks" -v c="$cpu" -v b="$bytes" -v r="$rss" -v s="$seconds" -v t="$ticks" \
+    'BEGIN {printf "%d workers, %d tasks: %.2f%% of a core, %.0f MB, %.0f B/s\n", w, k, 100*c/t/s, r/1024, b/s}'
+}
+run "$few" 0
+c_few=$cpu b_few=$bytes r_few=$rss
+run "$many" 0
+awk -v n="$((many - few))" -v c="$((cpu - c_few))" -v b="$((bytes - b_few))" -v r="$((rss - r_few))" -v s="$seconds" -v t="$ticks" \
+  'BEGIN {printf "a worker adds: %.1f µs of processor time a second, %.1f KB, %.1f B/s\n", 1e6*c/t/s/n, r/n, b/s/n}'
+if [ "$tasks" -gt 0 ]; then
+  r_none=$rss c_none=$cpu b_none=$bytes
+  run "$many" "$tasks"
+  awk -v n="$tasks" -v c="$((cpu - c_none))" -v b="$((bytes - b_none))" -v r="$((rss - r_none))" -v s="$seconds" -v t="$ticks" \
+    'BEGIN {printf "a running task adds: %.2f µs of processor time a second, %.1f KB, %.2f B/s\n", 1e6*c/t/s/n, r/n, b/s/n}'
+fi
--- a/tanagerbench/control.go
+++ b/tanagerbench/control.go
@@ -376,15 +376,17 @@
 			},
 		},
 	}
-	plain := len(tanagerwire.Encode(gossip))
-	gossip.Branches = append(gossip.Branches, tanagermessage.BranchUse{
+	fmt.Fprintf(t, "gossip, and when nothing has changed\t%d B and %d B\n", len(tanagerwire.Encode(gossip)), len(tanagerwire.Encode(tanagermessage.Gossip{
+		Same: true,
+	})))
+	fmt.Fprintf(t, "what a branch holds, for a plan\t%d B\n", len(tanagerwire.Encode(tanagermessage.BranchUse{
 		Branch:  "branch-42",
-		Held:    benThanh.capacity,
+		CPU:     benThanh.capacity.CPU,
+		Memory:  benThanh.capacity.Memory,
 		Waiting: 12,
 		Slots:   3,
 		Queued:  2,
-	})
-	fmt.Fprintf(t, "gossip\t%d B and %d B a branch in use\n", plain, len(tanagerwire.Encode(gossip))-plain)
+	})))
 	m := tanagershard.New(1024, "entry-117-0a1b2c3d")
 	m.Roster.Members = nil
 	one := len(tanagerwire.Encode(tanagershard.New(1025, "entry-117-0a1b2c3d"))) - len(tanagerwire.Encode(tanagershard.New(1024, "entry-117-0a1b2c3d")))
--- a/tanagerd/tanagercontrol/control.go
+++ b/tanagerd/tanagercontrol/control.go
@@ -59,6 +59,8 @@
 	memberRevisions map[string]uint64
 	suspects        map[string]time.Time
 	hints           map[string]hint
+	told            gossipState
+	plans           planTables
 	shardMap        tanagershard.Map
 	mapRevision     uint64
 	watchRevision   uint64
--- a/tanagerd/tanagercontrol/gossip.go
+++ b/tanagerd/tanagercontrol/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"reflect"
 	"slices"
 	"time"
 
@@ -16,10 +17,19 @@
 	services map[string]serviceHint
 	free     tanagerresource.Vector
 	total    tanagerresource.Vector
-	branches []tanagermessage.BranchUse
 	draining bool
 }
 
+// gossipState remembers what was told last.
+type gossipState struct {
+	last  tanagermessage.Gossip
+	whole time.Time
+}
+
+// wholeInterval is the longest time between two whole messages. A daemon that
+// has just joined knows nothing until the next.
+const wholeInterval = 2 * time.Second
+
 // serviceHint is the load of a service at a peer, less what was sent there
 // since.
 type serviceHint struct {
@@ -33,6 +43,14 @@
 	c.checkDrained()
 	g := c.ownGossip()
 	c.gossiped(c.self, g, now)
+	if reflect.DeepEqual(g, c.told.last) && now.Sub(c.told.whole) < wholeInterval {
+		g = tanagermessage.Gossip{
+			Same: true,
+		}
+	} else {
+		c.told.last = g
+		c.told.whole = now
+	}
 	for _, to := range c.gossipTargets() {
 		c.send(to, tanagermessage.TopicGossip, g)
 	}
@@ -45,7 +63,6 @@
 		Services:       c.serviceHints(),
 		Free:           c.workers.freeResources(),
 		Total:          c.workers.fleet.Total(),
-		Branches:       c.branchUse(),
 		Draining:       c.draining,
 	}
 }
@@ -61,12 +78,19 @@
 
 // gossiped takes a peer's load and sends it what it lacks.
 func (c *Control) gossiped(from string, m tanagermessage.Gossip, now time.Time) {
+	if m.Same {
+		if h, known := c.hints[from]; known {
+			h.received = now
+			c.hints[from] = h
+		}
+		c.ownerReached(from)
+		return
+	}
 	h := hint{
 		received: now,
 		services: make(map[string]serviceHint, len(m.Services)),
 		free:     m.Free,
 		total:    m.Total,
-		branches: m.Branches,
 		draining: m.Draining,
 	}
 	for _, s := range m.Services {
@@ -81,6 +105,19 @@
 	c.relay(from, m)
 }
 
+// hinted takes the load that an owner told with an answer.
+func (c *Control) hinted(from string, h tanagermessage.ServiceHint) {
+	services := c.hints[from].services
+	if h.Service == "" || services == nil {
+		return
+	}
+	services[h.Service] = serviceHint{
+		free:   h.Free,
+		queued: h.Queued,
+		slots:  h.Slots,
+	}
+}
+
 // relay sends a peer the newer map and configuration, so that a daemon that is
 // cut off from the store alone still learns of them.
 func (c *Control) relay(to string, m tanagermessage.Gossip) {
--- a/tanagerd/tanagercontrol/owner.go
+++ b/tanagerd/tanagercontrol/owner.go
@@ -1,6 +1,7 @@
 package tanagercontrol
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -157,6 +158,7 @@
 func (c *Control) sendAnswer(r *ownedRequest) {
 	answer := *r.answer
 	answer.Try = r.try
+	answer.Hint = c.serviceHint(r.spec.Service)
 	c.send(r.home, tanagermessage.TopicRequestAnswer, answer)
 }
 
@@ -376,21 +378,29 @@
 
 // serviceHints returns the load of this daemon's services.
 func (c *Control) serviceHints() []tanagermessage.ServiceHint {
+	var hints []tanagermessage.ServiceHint
+	for _, name := range slices.Sorted(maps.Keys(c.owned.services)) {
+		if h := c.serviceHint(name); h.Slots > 0 {
+			hints = append(hints, h)
+		}
+	}
+	return hints
+}
+
+// serviceHint returns the load of one service.
+func (c *Control) serviceHint(service string) tanagermessage.ServiceHint {
 	now := c.Timer.Now()
-	free := make(map[string]int)
-	slots := make(map[string]int)
+	h := tanagermessage.ServiceHint{
+		Service: service,
+	}
 	for _, t := range c.fleet.targets {
-		free[t.vm.Service] += max(t.free(now), 0)
-		slots[t.vm.Service] += t.vm.Slots
+		if t.vm.Service == service {
+			h.Slots += t.vm.Slots
+			h.Free += max(t.free(now), 0)
+		}
 	}
-	var hints []tanagermessage.ServiceHint
-	for name, n := range slots {
-		hints = append(hints, tanagermessage.ServiceHint{
-			Service: name,
-			Slots:   n,
-			Free:    free[name],
-			Queued:  c.owned.services[name].queue.Len(),
-		})
+	if s := c.owned.services[service]; s != nil {
+		h.Queued = s.queue.Len()
 	}
-	return hints
+	return h
 }
--- a/tanagerd/tanagercontrol/routes.go
+++ b/tanagerd/tanagercontrol/routes.go
@@ -22,6 +22,7 @@
 	c.schedule.every(recoverInterval, c.recoverJobs)
 	c.schedule.every(sweepInterval, c.sweepJobs)
 	c.schedule.every(gossipInterval, c.gossip)
+	c.schedule.every(sweepInterval, c.tendPlans)
 	return map[string]func(*message.Message, time.Time){
 		tanagerpeer.LostTopic: func(m *message.Message, now time.Time) {
 			c.peerLost(m.Metadata.Get(tanagerpeer.FromKey), now)
@@ -41,6 +42,8 @@
 		tanagermessage.TopicStatusWanted: handle(c, c.statusWanted),
 		tanagermessage.TopicPlanWanted:   handle(c, c.planWanted),
 		tanagermessage.TopicConfigWanted: handle(c, c.configWanted),
+		tanagermessage.TopicUseAsk:       handle(c, c.useAsked),
+		tanagermessage.TopicUseGive:      handle(c, c.useGiven),
 
 		tanagermessage.TopicRequestArrived: handle(c, c.requestArrived),
 		tanagermessage.TopicRequestGone:    handle(c, c.requestGone),
--- a/tanagerd/tanagercontrol/settings.go
+++ b/tanagerd/tanagercontrol/settings.go
@@ -37,7 +37,7 @@
 
 // The intervals of systems that don't run on every tick.
 const (
-	gossipInterval   = 300 * time.Millisecond
+	gossipInterval   = 400 * time.Millisecond
 	shardInterval    = 100 * time.Millisecond
 	gateInterval     = 100 * time.Millisecond
 	promiseInterval  = 250 * time.Millisecond
@@ -48,7 +48,7 @@
 	recountInterval  = time.Second
 	takeOverSpacing  = 300 * time.Millisecond
 	suspectTime      = time.Second
-	hintLife         = 750 * time.Millisecond
+	hintLife         = time.Second
 	resendInterval   = 200 * time.Millisecond
 	unreachableLimit = 2 * time.Second
 )
@@ -61,7 +61,7 @@
 	journalBatch     = 256
 	journalWindow    = 8
 	journalBytes     = 128 << 10
-	gossipPeers      = 16
+	gossipPeers      = 8
 	releasesAtOnce   = 16
 	retryBudgetPart  = 0.1
 	retryBudgetLimit = 100
--- a/tanagerd/tanagercontrol/status.go
+++ b/tanagerd/tanagercontrol/status.go
@@ -195,29 +195,6 @@
 	}, t.Waited, true, c.Wall())
 }
 
-// branchUse returns what each branch holds and waits for at this daemon.
-func (c *Control) branchUse() []tanagermessage.BranchUse {
-	if !c.mapped() {
-		return nil
-	}
-	var uses []tanagermessage.BranchUse
-	for _, name := range c.config.BranchNames() {
-		use := tanagermessage.BranchUse{
-			Branch:  name,
-			Held:    c.workers.offers.backlog.Held(name),
-			Waiting: c.waitingTasks(name),
-			Slots:   c.owned.running[name],
-		}
-		for _, s := range c.owned.services {
-			use.Queued += s.queue.Waiting(name)
-		}
-		if !use.Held.IsZero() || use.Waiting > 0 || use.Slots > 0 || use.Queued > 0 {
-			uses = append(uses, use)
-		}
-	}
-	return uses
-}
-
 // waitingTasks returns the number of a branch's tasks that wait at this daemon
 // as the branch's owner.
 func (c *Control) waitingTasks(branch string) int {
--- a/tanagerd/tanagermessage/peer.go
+++ b/tanagerd/tanagermessage/peer.go
@@ -15,6 +15,8 @@
 // The topics of messages between daemons.
 const (
 	TopicGossip        = "gossip"
+	TopicUseAsk        = "use.ask"
+	TopicUseGive       = "use.give"
 	TopicEntries       = "entries"
 	TopicPromiseAsk    = "promise.ask"
 	TopicPromiseGive   = "promise.give"
@@ -41,14 +43,16 @@
 
 // Gossip tells peers how far this daemon is and how loaded.
 type Gossip struct {
-	MapRevision    uint64 `json:"map_revision"`
-	ConfigRevision uint64 `json:"config_revision"`
+	// Same is set, and everything else left out, if nothing has changed since
+	// the last message.
+	Same           bool   `json:"same,omitempty"`
+	MapRevision    uint64 `json:"map_revision,omitempty"`
+	ConfigRevision uint64 `json:"config_revision,omitempty"`
 	// Services are the hints of the services that this daemon owns targets of.
 	Services []ServiceHint `json:"services,omitempty"`
-	// Free is what its workers have left, Largest the most on one worker.
-	Free     tanagerresource.Vector `json:"free,omitzero"`
-	Total    tanagerresource.Vector `json:"total,omitzero"`
-	Branches []BranchUse            `json:"branches,omitempty"`
+	// Free is what its workers have left of Total.
+	Free  tanagerresource.Vector `json:"free,omitzero"`
+	Total tanagerresource.Vector `json:"total,omitzero"`
 	// Draining daemons are about to stop.
 	Draining bool `json:"draining,omitempty"`
 }
@@ -61,13 +65,30 @@
 	Queued  int    `json:"queued"`
 }
 
-// BranchUse is what a branch holds and waits for at one owner.
+// UseAsk asks what each branch holds and waits for, for a plan.
+type UseAsk struct {
+	Number uint64 `json:"number"`
+}
+
+// UseGive answers a UseAsk.
+type UseGive struct {
+	Number uint64                 `json:"number"`
+	Total  tanagerresource.Vector `json:"total"`
+	Slots  int                    `json:"slots"`
+	Uses   []BranchUse            `json:"uses"`
+}
+
+// BranchUse is what a branch holds and waits for at one owner. It is encoded as
+// an array, because a plan asks every daemon for every branch.
 type BranchUse struct {
-	Branch  string                 `json:"branch"`
-	Held    tanagerresource.Vector `json:"held"`
-	Waiting int                    `json:"waiting"`
-	Slots   int                    `json:"slots"`
-	Queued  int                    `json:"queued"`
+	_            struct{} `cbor:",toarray"`
+	Branch       string
+	CPU          int64
+	Memory       int64
+	Accelerators int64
+	Waiting      int
+	Slots        int
+	Queued       int
 }
 
 // Entries carries newer store entries to a daemon that lags behind.
@@ -145,6 +166,8 @@
 	Queued time.Duration `json:"queued"`
 	Ran    time.Duration `json:"ran"`
 	Target string        `json:"target,omitempty"`
+	// Hint is the owner's load when it answered.
+	Hint ServiceHint `json:"hint,omitzero"`
 }
 
 // RequestCancel tells that nobody waits for a request any more.
--- a/tanagerd/tanagersettings/settings_test.go
+++ b/tanagerd/tanagersettings/settings_test.go
@@ -58,7 +58,9 @@
 	}
 }
 
-func regexpQuote(s string) string { return strings.NewReplacer("[", `\[`, "]", `\]`, ".", `\.`).Replace(s) }
+func regexpQuote(s string) string {
+	return strings.NewReplacer("[", `\[`, "]", `\]`, ".", `\.`).Replace(s)
+}
 
 func TestAllProblemsAreReportedTogether(t *testing.T) {
 	c := qt.New(t)
