Split the largest files of the control package by subject

Cause: home.go, jobtask.go, task.go and owner.go had 400 to 480 lines and two or three subjects each. Ruled out: new packages (the parts share the tables of one goroutine). Change: homeplace, homelost, joboffer, taskreport, ownerending and ownerhint; no line of code differs.

--- a/tanagerd/tanagercontrol/owner.go
+++ b/tanagerd/tanagercontrol/owner.go
@@ -1,8 +1,6 @@
 package tanagercontrol
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"tanagersail.example/tanager/tanagerfailure"
@@ -127,15 +125,6 @@
 	}
 }
 
-func (c *Control) ownsService(service string) bool {
-	for _, t := range c.fleet.targets {
-		if t.vm.Service == service && c.releasing[t.shard] == "" {
-			return true
-		}
-	}
-	return false
-}
-
 // answerOwned ends a request and tells its home.
 func (c *Control) answerOwned(r *ownedRequest, answer tanagermessage.RequestAnswer, now time.Time) {
 	if r.answer != nil {
@@ -263,55 +252,6 @@
 	c.answerOwned(r, answer, now)
 }
 
-// awaitEnd keeps an idempotent request whose run went unanswered until its
-// target is known to run nothing, and reports whether it did. Only then may the
-// request run again, or it would run in two places at once.
-func (c *Control) awaitEnd(r *ownedRequest, t *targetRow, now time.Time) bool {
-	if !r.spec.Idempotent || !now.Before(r.deadline) || c.owned.budget < 1 {
-		return false
-	}
-	r.attempted = true
-	c.owned.budget--
-	c.counters.retries++
-	t.ending = append(t.ending, r)
-	return true
-}
-
-// runsEnded admits the requests again that waited for their target to be idle.
-func (c *Control) runsEnded(t *targetRow, now time.Time) {
-	waiting := t.ending
-	t.ending = nil
-	for _, r := range waiting {
-		if r.answer != nil {
-			continue
-		}
-		if failure := c.admit(r, now); failure != nil {
-			c.answerOwned(r, unknownAnswer("the request could not be run again: "+failure.Message), now)
-		}
-	}
-}
-
-// expireEnding answers the requests whose target was not known to be idle in
-// time.
-func (c *Control) expireEnding(t *targetRow, now time.Time) {
-	t.ending = slices.DeleteFunc(t.ending, func(r *ownedRequest) bool {
-		if r.answer == nil && now.Before(r.deadline) {
-			return false
-		}
-		c.answerOwned(r, unknownAnswer("the target did not answer"), now)
-		return true
-	})
-}
-
-// abandonEnding answers the requests that wait for a target which this daemon
-// owns no longer.
-func (c *Control) abandonEnding(t *targetRow, now time.Time) {
-	for _, r := range t.ending {
-		c.answerOwned(r, unknownAnswer("the target has moved to another daemon"), now)
-	}
-	t.ending = nil
-}
-
 // requestCancelled drops a waiting request that nobody waits for. One that runs
 // goes on to its end.
 func (c *Control) requestCancelled(_ string, m tanagermessage.RequestCancel, now time.Time) {
@@ -351,16 +291,6 @@
 	}, now)
 }
 
-func (c *Control) slots(service string) int {
-	n := 0
-	for _, t := range c.fleet.targets {
-		if t.vm.Service == service && t.vm.State == tanagerplatform.Live && !t.gated {
-			n += t.vm.Slots - t.ghosts
-		}
-	}
-	return n
-}
-
 // returnOrphans sends waiting requests back to their homes when this daemon has
 // no target left that could run them.
 func (o *ownerTables) returnOrphans(c *Control, now time.Time) {
@@ -375,32 +305,3 @@
 		}
 	}
 }
-
-// serviceHints returns the load of this daemon's services.
-func (c *Control) serviceHints() []tanagermessage.ServiceHint {
-	var hints []tanagermessage.ServiceHint
-	for _, name := range slices.Sorted(maps.Keys(c.owned.services)) {
-		if h := c.serviceHint(name); h.Slots > 0 {
-			hints = append(hints, h)
-		}
-	}
-	return hints
-}
-
-// serviceHint returns the load of one service.
-func (c *Control) serviceHint(service string) tanagermessage.ServiceHint {
-	now := c.Timer.Now()
-	h := tanagermessage.ServiceHint{
-		Service: service,
-	}
-	for _, t := range c.fleet.targets {
-		if t.vm.Service == service {
-			h.Slots += t.vm.Slots
-			h.Free += max(t.free(now), 0)
-		}
-	}
-	if s := c.owned.services[service]; s != nil {
-		h.Queued = s.queue.Len()
-	}
-	return h
-}
