Pack more tightly on small fleets; let operators declare a daemon gone

The index takes the first bucket with a fit and compares 16 workers of it, by what stays free only. Apart from that, targets of daemons that died with the majority of the roster stayed held back unless they fell idle.

--- a/tanager/tanagerconfig/config.go
+++ b/tanager/tanagerconfig/config.go
@@ -55,6 +55,9 @@
 	Revision uint64            `json:"revision"`
 	Limits   Limits            `json:"limits"`
 	Branches map[string]Branch `json:"branches"`
+	// Gone are daemons that operators have declared to be gone for good, the
+	// latest last.
+	Gone []string `json:"gone,omitempty"`
 }
 
 // DefaultLimits are the limits before the centre has set any.
@@ -108,18 +111,20 @@
 	GrantException  IntentKind = "grant_exception"
 	RevokeException IntentKind = "revoke_exception"
 	SetLimits       IntentKind = "set_limits"
+	DeclareGone     IntentKind = "declare_gone"
 )
 
 // Intent is a change that an operator asks for.
 type Intent struct {
 	Kind IntentKind `json:"kind" yaml:"kind"`
-	// Branch is set for all kinds but set_limits.
+	// Branch is set for all kinds but set_limits and declare_gone.
 	Branch string `json:"branch,omitempty" yaml:"branch"`
 	// Rules is set for set_branch.
 	Rules *Rules `json:"rules,omitempty" yaml:"rules"`
 	// Exception is set for grant_exception.
 	Exception *Exception `json:"exception,omitempty" yaml:"exception"`
-	// Name is set for revoke_exception.
+	// Name is an exception's for revoke_exception and a daemon's id for
+	// declare_gone.
 	Name string `json:"name,omitempty" yaml:"name"`
 	// Limits is set for set_limits.
 	Limits *Limits `json:"limits,omitempty" yaml:"limits"`
@@ -141,8 +146,10 @@
 		failure = next.revoke(i)
 	case SetLimits:
 		failure = next.setLimits(i)
+	case DeclareGone:
+		failure = next.declareGone(i)
 	default:
-		failure = invalid("kind", "is not one of set_branch, remove_branch, grant_exception, revoke_exception, set_limits")
+		failure = invalid("kind", "is not one of set_branch, remove_branch, grant_exception, revoke_exception, set_limits, declare_gone")
 	}
 	if failure != nil {
 		return s, failure
--- a/tanager/tanagerconfig/intent.go
+++ b/tanager/tanagerconfig/intent.go
@@ -149,3 +149,15 @@
 	s.Limits = l
 	return nil
 }
+
+// goneLimit bounds the daemons that are remembered as gone.
+const goneLimit = 256
+
+func (s *State) declareGone(i Intent) *tanagerfailure.Failure {
+	if !ValidName(i.Name) {
+		return invalid("name", "must be the id of a daemon, as tanagerctl status shows it")
+	}
+	gone := append(slices.Clone(s.Gone), i.Name)
+	s.Gone = gone[max(0, len(gone)-goneLimit):]
+	return nil
+}
--- a/tanager/tanagerplace/choose.go
+++ b/tanager/tanagerplace/choose.go
@@ -10,6 +10,10 @@
 // sampleSize bounds the workers that a first search looks at in each bucket.
 const sampleSize = 16
 
+// scanLimit is the number of workers up to which dense placement compares all of
+// them, which packs more tightly than the index and costs little more.
+const scanLimit = 128
+
 // missLimit bounds the remembered demands that did not fit.
 const missLimit = 16
 
@@ -42,6 +46,9 @@
 	if d.Policy == Spread {
 		return f.searchSpread(d, sample, accept)
 	}
+	if len(f.order) <= scanLimit {
+		return best(f.order, d.Resources, 0, accept)
+	}
 	var chosen *workerRow
 	for _, domain := range f.domains {
 		row := domain.index.fullest(d.Resources, sample, accept)
--- a/tanager/tanagerplace/doc.go
+++ b/tanager/tanagerplace/doc.go
@@ -15,7 +15,7 @@
 // takes the best fit of the first bucket that has one. Spread placement, for
 // services, first takes the failure domain with the fewest tasks of the same
 // job. The number of buckets is fixed, so the cost of a decision hardly grows
-// with the fleet.
+// with the fleet. A small fleet is compared whole, which packs more tightly.
 //
 // # Health
 //
--- a/tanager/tanagerplace/index.go
+++ b/tanager/tanagerplace/index.go
@@ -110,35 +110,3 @@
 	}
 	return nil
 }
-
-// best returns the worker of one bucket that is left with the least.
-func best(rows []*workerRow, r tanagerresource.Vector, sample int, accept func(*workerRow) bool) *workerRow {
-	var chosen *workerRow
-	var least float64
-	for i, row := range rows {
-		if sample > 0 && i >= sample {
-			break
-		}
-		free := row.free()
-		if !r.Fits(free) || !accept(row) {
-			continue
-		}
-		left := leftover(free.Minus(r), row.Capacity)
-		if chosen == nil || left < least {
-			chosen, least = row, left
-		}
-	}
-	return chosen
-}
-
-// leftover rates what stays free on a worker, relative to its capacity.
-func leftover(left, capacity tanagerresource.Vector) float64 {
-	return part(left.CPU, capacity.CPU) + part(left.Memory, capacity.Memory) + part(left.Accelerators, capacity.Accelerators)
-}
-
-func part(amount, whole int64) float64 {
-	if whole == 0 {
-		return 0
-	}
-	return float64(amount) / float64(whole)
-}
--- a/tanager/tanagerplan/plan.go
+++ b/tanager/tanagerplan/plan.go
@@ -204,6 +204,8 @@
 		return []string{fmt.Sprintf("branch %s gets %g times its weight until %s (exception %s)", i.Branch, i.Exception.WeightFactor, i.Exception.Until.Format(time.RFC3339), i.Exception.Name)}
 	case tanagerconfig.RevokeException:
 		return []string{fmt.Sprintf("branch %s loses the exception %s", i.Branch, i.Name)}
+	case tanagerconfig.DeclareGone:
+		return []string{"daemon " + i.Name + " counts as gone for good: targets and workers that it owned are used without waiting for its end to be confirmed"}
 	case tanagerconfig.SetLimits:
 		return []string{"the centre's limits change; exceptions already granted stay as they are, but weights are cut to the new largest weight"}
 	}
--- a/tanagerd/tanagercontrol/gates.go
+++ b/tanagerd/tanagercontrol/gates.go
@@ -1,6 +1,7 @@
 package tanagercontrol
 
 import (
+	"slices"
 	"time"
 
 	"tanagersail.example/tanager/tanagerlease"
@@ -52,6 +53,10 @@
 	if g.open {
 		return
 	}
+	if c.declaredGone(predecessor) {
+		c.confirmEnd(g, predecessor, now)
+		return
+	}
 	for _, member := range c.shardMap.Roster.Members {
 		c.send(member, tanagermessage.TopicConfirmAsk, tanagermessage.ConfirmAsk{
 			Owner: predecessor,
@@ -65,11 +70,22 @@
 	if g == nil || g.open || !g.gate.Open(now) {
 		return
 	}
+	c.confirmEnd(g, predecessor, now)
+}
+
+func (c *Control) confirmEnd(g *gate, predecessor string, now time.Time) {
 	g.open = true
 	g.openedAt = now
 	c.Log.Info().Str("event", "predecessor_confirmed").Str("member", predecessor).Send()
 }
 
+// declaredGone reports whether an operator has declared a daemon to be gone for
+// good. A daemon that is a member is not, whatever was declared.
+func (c *Control) declaredGone(member string) bool {
+	_, live := c.members[member]
+	return !live && slices.Contains(c.config.Gone, member)
+}
+
 // confirmAsked refuses all further promises to an owner that was taken over
 // from, and gives up this daemon's own rights if it is the one.
 func (c *Control) confirmAsked(from string, m tanagermessage.ConfirmAsk, now time.Time) {
--- a/tanagerd/tanagercontrol/request_test.go
+++ b/tanagerd/tanagercontrol/request_test.go
@@ -6,9 +6,11 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"tanagersail.example/tanager/tanagerconfig"
 	"tanagersail.example/tanager/tanagerfailure"
 	"tanagersail.example/tanager/tanagerqueue"
 	"tanagersail.example/tanager/tanagershard"
+	"tanagersail.example/tanager/tanagerwire"
 	"tanagersail.example/tanagerd/tanagermessage"
 )
 
@@ -175,6 +177,38 @@
 	h.Assert(h.io.swaps[len(h.io.swaps)-1].Unconfirmed(), qt.HasLen, 0)
 }
 
+func TestOperatorReleasesTargetsOfADaemonThatIsGone(t *testing.T) {
+	h := newHarness(t)
+	h.owners("d2", "d2", "d2", "d2")
+	name := h.named("t", 0)
+	h.vms(target(name, 2))
+	declare := tanagerwire.Encode(tanagerconfig.Record{
+		Intent: tanagerconfig.Intent{
+			Kind: tanagerconfig.DeclareGone,
+			Name: "d2",
+		},
+		At: h.timer.Now(),
+	})
+	leave := func() {
+		h.leaves("d2")
+		h.shards, _ = h.shards.TakeOver([]string{"d1"}, []string{"d1"})
+		h.showMap()
+	}
+	leave()
+	h.pass(5*time.Second, true)
+	h.counted(name, 0)
+	h.arrive(1, request("", true))
+	h.Assert(h.io.runs, qt.HasLen, 0)
+	h.configure(declare, declare)
+	h.pass(500*time.Millisecond, true)
+	h.counted(name, 0)
+	h.arrive(2, request("", true))
+	h.Assert(h.io.runs, qt.Not(qt.HasLen), 0)
+	// The declaration of a daemon that is a member counts for nothing.
+	h.joins("d2")
+	h.Assert(h.control.declaredGone("d2"), qt.IsFalse)
+}
+
 func TestRequestOfADeadOwnerIsUnknownAndNotSentElsewhere(t *testing.T) {
 	for _, idempotent := range []bool{false, true} {
 		h := newHarness(t)
