--- /dev/null
+++ b/tanager/tanagerqueue/example_test.go
@@ -0,0 +1,40 @@
+package tanagerqueue_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"tanagersail.example/tanager/tanagerqueue"
+)
+
+// Branches take turns by the slot time that they use, whatever the order in
+// which their requests arrived.
+func ExampleQueue() {
+	queue := tanagerqueue.New[string](tanagerqueue.Settings{
+		BranchLength: 100,
+		TotalLength:  1000,
+		FirstCost:    10 * time.Millisecond,
+		RetryFloor:   time.Second,
+		RetryCeiling: time.Minute,
+	}, rand.New(rand.NewPCG(1, 2)))
+	queue.SetSlots(1)
+	now := time.Now()
+	for _, branch := range []string{"a", "b"} {
+		queue.SetBranch(branch, tanagerqueue.Branch{
+			Weight: 1,
+		})
+		for i := range 2 {
+			queue.Offer(&tanagerqueue.Item[string]{
+				Branch:   branch,
+				Class:    tanagerqueue.Normal,
+				Deadline: now.Add(time.Second),
+				Value:    fmt.Sprint(branch, i),
+			}, now)
+		}
+	}
+	for item, ok := queue.Take(now); ok; item, ok = queue.Take(now) {
+		fmt.Print(item.Value, " ")
+	}
+	// Output: a0 b0 a1 b1
+}
--- /dev/null
+++ b/tanager/tanagershare/example_test.go
@@ -0,0 +1,35 @@
+package tanagershare_test
+
+import (
+	"fmt"
+
+	"tanagersail.example/tanager/tanagerqueue"
+	"tanagersail.example/tanager/tanagerresource"
+	"tanagersail.example/tanager/tanagershare"
+)
+
+// A branch with twice the weight gets twice the tasks while both want more than
+// there is.
+func ExampleBacklog_Round() {
+	core := tanagerresource.Vector{
+		CPU: 1000,
+	}
+	backlog := tanagershare.New[int](core.Times(6))
+	backlog.SetBranch("rosenheim", tanagershare.Branch{
+		Weight: 2,
+	})
+	backlog.SetBranch("augsburg", tanagershare.Branch{
+		Weight: 1,
+	})
+	for i := range 10 {
+		backlog.Push("rosenheim", tanagerqueue.Normal, core, i)
+		backlog.Push("augsburg", tanagerqueue.Normal, core, i)
+	}
+	free := 6
+	backlog.Round(func(*tanagershare.Entry[int]) bool {
+		free--
+		return free >= 0
+	})
+	fmt.Println(backlog.Held("rosenheim").CPU/1000, backlog.Held("augsburg").CPU/1000)
+	// Output: 4 2
+}
