One place tells calls that reached nobody; bench sorts its arrivals

Cause: the clients of the store, of the VMs and of the daemons each had the same test for a connection that was never made, and the bench sorted with a heap of its own. Ruled out: one shared HTTP client (their errors differ).

--- a/tanager/tanagerplatform/client.go
+++ b/tanager/tanagerplatform/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +11,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"tanagersail.example/tanager/tanagerdial"
 )
 
 // Errors is the namespace of this package's errors.
@@ -184,8 +185,7 @@
 }
 
 func classify(err error, vm any) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if tanagerdial.Failed(err) {
 		return Unreached.Wrap(err, "%s", vm)
 	}
 	return Unanswered.Wrap(err, "%s", vm)
--- a/tanager/tanagerstore/client.go
+++ b/tanager/tanagerstore/client.go
@@ -4,17 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"net"
 	"net/http"
 	"net/netip"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/time/rate"
 
+	"tanagersail.example/tanager/tanagerdial"
 	"tanagersail.example/tanager/tanagertimer"
 )
 
@@ -239,9 +237,7 @@
 // classify separates calls that certainly took no effect, because no
 // connection was made, from calls that may have.
 func classify(err error, path string) error {
-	var operation *net.OpError
-	dialed := errors.As(err, &operation) && operation.Op == "dial"
-	if dialed || errors.Is(err, syscall.ECONNREFUSED) {
+	if tanagerdial.Failed(err) {
 		return Unavailable.Wrap(err, "%s", path)
 	}
 	return Unanswered.Wrap(err, "%s", path)
--- a/tanagerbench/requests.go
+++ b/tanagerbench/requests.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -128,30 +129,8 @@
 		draw(fmt.Sprintf("b%d", i), mixed, ordinaryLoad/requestBranches, 0, requestEnd)
 	}
 	draw("flood", func() tanagerqueue.Class { return flood }, floodLoad, floodStart, floodEnd)
-	heap.Init((*byTime)(&list))
-	sorted := make([]arrival, 0, len(list))
-	for len(list) > 0 {
-		sorted = append(sorted, heap.Pop((*byTime)(&list)).(arrival))
-	}
-	return sorted
-}
-
-// byTime is a heap of arrivals or ends.
-type byTime []arrival
-
-func (h *byTime) Len() int           { return len(*h) }
-func (h *byTime) Less(i, j int) bool { return (*h)[i].at.Before((*h)[j].at) }
-func (h *byTime) Swap(i, j int)      { (*h)[i], (*h)[j] = (*h)[j], (*h)[i] }
-
-// Push implements heap.Interface.
-func (h *byTime) Push(x any) { *h = append(*h, x.(arrival)) }
-
-// Pop implements heap.Interface.
-func (h *byTime) Pop() any {
-	last := len(*h) - 1
-	x := (*h)[last]
-	*h = (*h)[:last]
-	return x
+	slices.SortStableFunc(list, func(a, b arrival) int { return a.at.Compare(b.at) })
+	return list
 }
 
 // running is a request in a slot.
--- a/tanagerctl/tanagerclient/client.go
+++ b/tanagerctl/tanagerclient/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -14,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"tanagersail.example/tanager/tanagerdial"
 	"tanagersail.example/tanager/tanagerfailure"
 )
 
@@ -155,8 +155,7 @@
 }
 
 func classify(err error, daemon netip.AddrPort) error {
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if tanagerdial.Failed(err) {
 		return Unreachable.Wrap(err, "%s", daemon)
 	}
 	return Unanswered.Wrap(err, "%s", daemon)
