Refuse requests of removed branches; an unplaceable task holds up nobody

A branch that was removed stayed in the queues of owners, so its requests were still served. A task whose only possible worker has gone was refused as impossible by every owner and then blocked all tasks of its branch and class. A service that is not idempotent would have ended for good at the first loss of its worker. Ruled out: ending such a task as impossible (a larger worker may come back). Change: owners check the configuration; such a task is set aside for 10 s; a service must be idempotent.

--- a/tanager/tanagerjob/job.go
+++ b/tanager/tanagerjob/job.go
@@ -64,6 +64,8 @@
 		return invalid("family", "must have at most 128 bytes")
 	case s.Kind != Batch && s.Kind != Service && s.Kind != Gang:
 		return invalid("kind", "must be batch, service or gang")
+	case s.Kind == Service && !s.Idempotent:
+		return invalid("idempotent", "must be true for a service, which is started again when it ends")
 	case s.Class > tanagerqueue.Batch:
 		return invalid("class", "must be urgent, normal or batch")
 	case s.Tasks < 1 || s.Tasks > MaxTasks:
--- a/tanager/tanagerjob/table_test.go
+++ b/tanager/tanagerjob/table_test.go
@@ -176,6 +176,7 @@
 		"tasks":     func(s *Spec) { s.Tasks = MaxTasks + 1 },
 		"resources": func(s *Spec) { s.Resources.CPU = -1 },
 		"run_time":  func(s *Spec) { s.RunTime = -1 },
+		"service":   func(s *Spec) { s.Kind = Service },
 		"attempts":  func(s *Spec) { s.Attempts = MaxAttempts + 1 },
 		"payload":   func(s *Spec) { s.Payload = make([]byte, MaxPayloadBytes+1) },
 	} {
@@ -183,6 +184,8 @@
 		change(&s)
 		failure := s.Validate()
 		c.Check(failure, qt.Not(qt.IsNil), qt.Commentf(name))
-		c.Check(failure.Message, qt.Contains, name)
+		if name != "service" {
+			c.Check(failure.Message, qt.Contains, name)
+		}
 	}
 }
--- a/tanagerd/tanagercontrol/job_test.go
+++ b/tanagerd/tanagercontrol/job_test.go
@@ -509,3 +509,36 @@
 	h.Assert(take[tanagermessage.TaskWord](h.C, h.out, tanagermessage.TopicTaskEnded), qt.HasLen, 0)
 	h.Assert(h.control.workers.rows, qt.HasLen, 0)
 }
+
+// TestTaskThatFitsNowhereDoesNotHoldUpOthers accepts a job while a large worker
+// lives, loses that worker and checks that a small job behind it still starts.
+func TestTaskThatFitsNowhereDoesNotHoldUpOthers(t *testing.T) {
+	h, red, name := readyCell(t)
+	large := worker(h.named("large", red))
+	large.Capacity.CPU = 64000
+	h.vms(large)
+	huge := spec(true, 1)
+	huge.Key = "huge"
+	huge.Resources.CPU = 60000
+	h.accepted(red, huge)
+	large.State = tanagerplatform.Gone
+	h.vms(large)
+	for range 10 {
+		h.pass(time.Second, true)
+		h.say(self, tanagermessage.TopicWorkerSynced, tanagermessage.WorkerSynced{
+			Worker: name,
+			Epoch:  1,
+			Report: tanagerplatform.SyncReport{
+				LeaseBase: 100,
+				Version:   1,
+			},
+			Sent:     h.timer.Now(),
+			Received: h.timer.Now(),
+		})
+	}
+	h.Assert(h.control.workers.rows, qt.HasLen, 1)
+	delete(h.io.answers, 1)
+	h.accepted(red, spec(true, 1))
+	h.pass(200*time.Millisecond, true)
+	h.Assert(h.startAll(nil), qt.HasLen, 1)
+}
--- a/tanagerd/tanagercontrol/joboffer.go
+++ b/tanagerd/tanagercontrol/joboffer.go
@@ -40,6 +40,13 @@
 	if !c.underQuota(js, j) {
 		return false
 	}
+	if c.impossibleEverywhere(t) {
+		// Larger workers may come; until then the task holds up nobody.
+		t.Impossible = nil
+		t.NotBefore = now.Add(c.jitter(impossiblePause))
+		js.queue.push(j, t)
+		return true
+	}
 	owner, ok := c.chooseWorkerOwner(j, t, now)
 	if !ok {
 		return false
@@ -48,6 +55,20 @@
 	return true
 }
 
+// impossibleEverywhere reports whether no owner has a worker that could hold a
+// task.
+func (c *Control) impossibleEverywhere(t *tanagerjob.Task) bool {
+	if len(t.Impossible) == 0 {
+		return false
+	}
+	for _, owner := range c.fleet.workerOwners {
+		if !slices.Contains(t.Impossible, owner) {
+			return false
+		}
+	}
+	return true
+}
+
 // offerTo offers a task to an owner.
 func (c *Control) offerTo(js *jobShard, j *tanagerjob.Job, t *tanagerjob.Task, owner string, now time.Time) {
 	js.set(j, t, tanagerjob.Offered)
--- a/tanagerd/tanagercontrol/jobtask.go
+++ b/tanagerd/tanagercontrol/jobtask.go
@@ -14,6 +14,8 @@
 	refusedPause = 50 * time.Millisecond
 	failurePause = time.Second
 	failureLimit = time.Minute
+	// impossiblePause is for tasks that no worker could hold at present.
+	impossiblePause = 10 * time.Second
 )
 
 // changed acts on an entry that is now in the journal.
--- a/tanagerd/tanagercontrol/owner.go
+++ b/tanagerd/tanagercontrol/owner.go
@@ -104,6 +104,9 @@
 	if !c.mayAct(now) || !c.ownsService(r.spec.Service) {
 		return tanagerfailure.New(tanagerfailure.NoOwner, "this daemon may not use targets of "+r.spec.Service).After(c.settings.Queue.RetryFloor)
 	}
+	if _, known := c.config.Branches[r.spec.Branch]; !known {
+		return tanagerfailure.New(tanagerfailure.UnknownBranch, "branch "+r.spec.Branch+" is not configured")
+	}
 	r.item = &tanagerqueue.Item[*ownedRequest]{
 		Branch:   r.spec.Branch,
 		Class:    r.spec.Class,
--- a/tanagerd/tanagercontrol/request_test.go
+++ b/tanagerd/tanagercontrol/request_test.go
@@ -290,3 +290,19 @@
 	h.ran(h.io.runs[0].Call.ID, name, tanagermessage.RunAnswered)
 	h.Assert(h.outcome(1), qt.Equals, tanagerfailure.Done)
 }
+
+func TestRemovedBranchIsRefused(t *testing.T) {
+	h := newHarness(t)
+	h.ownTarget(8)
+	remove := tanagerwire.Encode(tanagerconfig.Record{
+		Intent: tanagerconfig.Intent{
+			Kind:   tanagerconfig.RemoveBranch,
+			Branch: "red",
+		},
+		At: h.timer.Now(),
+	})
+	h.configure(remove, remove)
+	h.arrive(1, request("", true))
+	h.Assert(h.answer(1).Failure.Code, qt.Equals, tanagerfailure.UnknownBranch)
+	h.Assert(h.io.runs, qt.HasLen, 0)
+}
