--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -8,7 +8,7 @@
 pids=()
 finish() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done; done
 }
 trap finish EXIT
 start() {
@@ -16,6 +16,7 @@
   shift
   "$@" >"$logs/$name.log" 2>&1 &
   pids+=($!)
+  disown
 }
 
 start store bin/tanagerfake store --address 127.0.0.1:7201
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -9,7 +9,7 @@
 pids=()
 finish() {
   for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done; done
 }
 trap finish EXIT
 start() {
@@ -17,6 +17,7 @@
   shift
   "$@" >"$dir/$name.log" 2>&1 &
   pids+=($!)
+  disown
 }
 port() { echo $((15000 + $1)); }
 
--- a/scripts/slope.sh
+++ b/scripts/slope.sh
@@ -11,7 +11,7 @@
 pids=()
 finish() {
   for pid in "${pids[@]}"; do kill -9 "$pid" 2>/dev/null || true; done
-  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done; done
   pids=()
 }
 trap finish EXIT
@@ -29,11 +29,14 @@
   printf '{key: services, kind: service, tasks: %d, resources: {cpu_milli: 1000, memory_mib: 1000}, idempotent: true}\n' "$tasks" >"$dir/job.yaml"
   bin/tanagerfake store --address 127.0.0.1:15913 >"$dir/store.log" 2>&1 &
   pids+=($!)
+  disown
   bin/tanagerfake fleet --address 127.0.0.1:15914 --file "$dir/fleet.yaml" >"$dir/fleet.log" 2>&1 &
   pids+=($!)
+  disown
   bin/tanagerd run --settings "$dir/d1.yaml" >"$dir/d1.log" 2>&1 &
   pid=$!
   pids+=("$pid")
+  disown
   export TANAGER_DAEMONS=127.0.0.1:15911
   until curl -sf -o /dev/null http://127.0.0.1:15911/health/ready; do sleep 0.1; done
   TANAGER_TOKEN=measure-operator-token bin/tanagerctl apply "$dir/branches.yaml" >/dev/null
