Recover without waiting out the list's lag; count a job's whole wait

Cause: a new owner decided on its predecessor's tasks only two seconds after it had gained a worker shard, so a task that was in flight when an owner died could start only after a lease (2.4 s), that lag and a poll: more than the 3.9 s that urgent work may wait. The play also counted a job's wait only from its acceptance. Ruled out: trusting the list as it is at the takeover (an owner could have used a worker that its heir does not see yet). Change: an owner uses a new worker only list_lag after its own list showed it, so every heir knows it; recovery needs only a list read since the shard was gained. WAIT of a job now begins with the first call.

--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -42,6 +42,7 @@
       - {name: pairing, service: ladder, path: pairings, class: urgent, count: 10000, work: 20ms, idempotent: true, timeout: 2s}
       - {name: result, service: ladder, path: results, class: normal, count: 10000, work: 20ms, timeout: 2s}
     jobs:
+      - {name: urgent job, count: 200, job: {kind: batch, class: urgent, tasks: 1, resources: {cpu_milli: 1000, memory_mib: 500}, run_time: 100ms, idempotent: true, attempts: 10}}
       - {name: standings, count: 100, job: {kind: batch, class: batch, tasks: 10, resources: {cpu_milli: 2000, memory_mib: 2000}, run_time: 3s, idempotent: true, attempts: 10}}
 YAML
 printf -- '- {kind: set_branch, branch: cho-lon, rules: {weight: 1, urgent_share: 0.3}}\n' >"$dir/branches.yaml"
--- a/tanagerctl/tanagerplay/play.go
+++ b/tanagerctl/tanagerplay/play.go
@@ -248,6 +248,7 @@
 		Job:        true,
 	}
 	status, err := r.repeat(ctx, accepted, func() (tanagerclient.JobStatus, error) { return client.Submit(ctx, j) })
+	acceptance := r.settings.Timer.Now().Sub(start)
 	if err == nil {
 		result.ID = status.ID
 		status, err = r.repeat(ctx, ended, func() (tanagerclient.JobStatus, error) { return client.Job(ctx, result.ID, jobWait) })
@@ -260,7 +261,7 @@
 		result.Code = f.Code
 	}
 	result.Took = r.settings.Timer.Now().Sub(start)
-	result.Waited = status.Waited
+	result.Waited = acceptance + status.Waited
 	r.results.add(result)
 }
 
--- a/tanagerctl/tanagerplay/results.go
+++ b/tanagerctl/tanagerplay/results.go
@@ -91,7 +91,9 @@
 }
 
 // WriteTable prints a row for each kind of work. The waits are those of work
-// that was done: the time from asking to the answer, less the work itself.
+// that was done. For a request: the time from asking to the answer, less the
+// work itself. For a job: the time from asking to its acceptance, repeated calls
+// included, and the longest wait of a task for its first start.
 func (r *Results) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(t, "WORK\tCLASS\tASKED\tDONE\tFAILED\tNOT RUN\tUNKNOWN\tWAIT P50\tWAIT P99\tWAIT MAX\t")
--- a/tanagerd/tanagercontrol/fleet.go
+++ b/tanagerd/tanagercontrol/fleet.go
@@ -13,6 +13,8 @@
 // fleetTables hold the platform's list and the targets that this daemon owns.
 type fleetTables struct {
 	vms map[string]tanagerplatform.VM
+	// seen is since when each VM is in this daemon's list.
+	seen map[string]time.Time
 	// updated is when the list was last known to be fresh.
 	updated time.Time
 	targets map[string]*targetRow
@@ -25,6 +27,7 @@
 func newFleetTables() *fleetTables {
 	return &fleetTables{
 		vms:     make(map[string]tanagerplatform.VM),
+		seen:    make(map[string]time.Time),
 		targets: make(map[string]*targetRow),
 		routes:  make(map[string][]string),
 	}
@@ -76,8 +79,9 @@
 	for _, vm := range m.List.VMs {
 		if vm.State == tanagerplatform.Gone {
 			delete(c.fleet.vms, vm.Name)
+			delete(c.fleet.seen, vm.Name)
 		} else {
-			c.fleet.vms[vm.Name] = vm
+			c.fleet.notice(vm, now)
 		}
 		c.vmChanged(vm, now)
 	}
@@ -86,6 +90,14 @@
 	}
 }
 
+// notice takes the record of a VM.
+func (f *fleetTables) notice(vm tanagerplatform.VM, now time.Time) {
+	f.vms[vm.Name] = vm
+	if _, known := f.seen[vm.Name]; !known {
+		f.seen[vm.Name] = now
+	}
+}
+
 func (c *Control) vmChanged(vm tanagerplatform.VM, now time.Time) {
 	if !c.mapped() || !c.owns(c.shardMap.Of(vm.Name)) {
 		return
--- a/tanagerd/tanagercontrol/job_test.go
+++ b/tanagerd/tanagercontrol/job_test.go
@@ -118,7 +118,7 @@
 	h := newHarness(t)
 	red, name := h.ownRed()
 	h.loadJournals()
-	h.pass(50*time.Millisecond, true)
+	h.pass(testSettings.ListLag, true)
 	h.synced(name, 100, 1)
 	h.pass(50*time.Millisecond, true)
 	return h, red, name
@@ -542,3 +542,16 @@
 	h.pass(200*time.Millisecond, true)
 	h.Assert(h.startAll(nil), qt.HasLen, 1)
 }
+
+func TestWorkerIsUsedOnlyOnceEveryListShowsIt(t *testing.T) {
+	h := newHarness(t)
+	red, name := h.ownRed()
+	h.loadJournals()
+	h.pass(100*time.Millisecond, true)
+	h.synced(name, 100, 1)
+	h.accepted(red, spec(true, 1))
+	h.pass(testSettings.ListLag-200*time.Millisecond, true)
+	h.Assert(h.io.starts, qt.HasLen, 0)
+	h.pass(300*time.Millisecond, true)
+	h.Assert(h.io.starts, qt.HasLen, 1)
+}
--- a/tanagerd/tanagercontrol/settings.go
+++ b/tanagerd/tanagercontrol/settings.go
@@ -24,7 +24,8 @@
 	// ClockDrift is added to every wait for another clock, as a part of the
 	// time waited for.
 	ClockDrift float64
-	// ListLag bounds how far the platform's list is behind.
+	// ListLag bounds how far one daemon's view of the platform's list is behind
+	// another's.
 	ListLag time.Duration
 	// LongestRequest bounds the timeout of a request, and so how long one may
 	// occupy a slot after its owner is gone.
--- a/tanagerd/tanagercontrol/taskreport.go
+++ b/tanagerd/tanagercontrol/taskreport.go
@@ -143,7 +143,7 @@
 
 // recoverAsked tells the owner of a job shard which of its tasks are on the
 // wanted workers, and refuses whatever an earlier owner still sends.
-func (c *Control) recoverAsked(from string, m tanagermessage.JobRecover, now time.Time) {
+func (c *Control) recoverAsked(from string, m tanagermessage.JobRecover, _ time.Time) {
 	if m.Epoch < c.jobEpoch(m.Shard) {
 		return
 	}
@@ -154,7 +154,7 @@
 	}
 	wanted := make(map[tanagershard.Shard]bool)
 	for _, s := range m.Wanted {
-		if c.complete(s, now) {
+		if c.complete(s) {
 			wanted[s] = true
 			answer.Complete = append(answer.Complete, tanagermessage.ShardEpoch{
 				Shard: s,
--- a/tanagerd/tanagercontrol/worker.go
+++ b/tanagerd/tanagercontrol/worker.go
@@ -171,9 +171,12 @@
 	}
 }
 
-// open makes a worker take tasks if all is well with it.
+// open makes a worker take tasks if all is well with it. A worker that has just
+// appeared in the list waits until every other daemon's list shows it too: an
+// heir must know each worker that this daemon has used.
 func (w *workerTables) open(c *Control, row *workerRow) {
-	open := row.state == workerKnown && !row.gone && !row.fenced && row.vm.State == tanagerplatform.Live && c.releasing[row.shard] == ""
+	shown := c.Timer.Now().Sub(c.fleet.seen[row.vm.Name]) >= c.settings.ListLag
+	open := shown && row.state == workerKnown && !row.gone && !row.fenced && row.vm.State == tanagerplatform.Live && c.releasing[row.shard] == ""
 	w.fleet.Open(row.vm.Name, open)
 	w.dirty = w.dirty || open
 }
@@ -315,10 +318,10 @@
 }
 
 // complete reports whether all tasks of a worker shard are known: every worker
-// has answered or is lost, and the platform's list has had the time to show
-// those that the earlier owner knew.
-func (c *Control) complete(s tanagershard.Shard, now time.Time) bool {
-	if !c.owns(s) || now.Sub(c.workers.gainedAt[s]) < c.settings.ListLag || !c.fleet.updated.After(c.workers.gainedAt[s]) {
+// has answered or is lost, and the list was read since the shard was gained. The
+// earlier owner used no worker that the list did not show to everybody.
+func (c *Control) complete(s tanagershard.Shard) bool {
+	if !c.owns(s) || !c.fleet.updated.After(c.workers.gainedAt[s]) {
 		return false
 	}
 	for _, row := range c.workers.rows {
