--- a/tanagerbench/main.go
+++ b/tanagerbench/main.go
@@ -7,6 +7,7 @@
 //	tanagerbench place     cost, waits and packing of placement at several sizes
 //	tanagerbench requests  floods of requests at one service
 //	tanagerbench tasks     floods of tasks on workers
+//	tanagerbench owners    choice of owners on stale hints
 //	tanagerbench control   cost and size of a daemon's control tables
 //	tanagerbench all
 //
@@ -33,12 +34,14 @@
 		"place":    benchPlace,
 		"requests": benchRequests,
 		"tasks":    benchTasks,
+		"owners":   benchOwners,
 		"control":  benchControl,
 	}
-	order := []string{"place", "requests", "tasks", "control"}
+	order := []string{"place", "requests", "tasks", "owners", "control"}
 	app.Command("place", "Cost, waits and packing of placement at several sizes.")
 	app.Command("requests", "Floods of requests at one service.")
 	app.Command("tasks", "Floods of tasks on workers.")
+	app.Command("owners", "Choice of owners on stale hints.")
 	app.Command("control", "Cost and size of a daemon's control tables.")
 	app.Command("all", "All of these.")
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
--- a/tanagerd/tanagercontrol/homeplace.go
+++ b/tanagerd/tanagercontrol/homeplace.go
@@ -92,8 +92,7 @@
 	return false
 }
 
-// chooseOwner picks the better of two random owners by their last hints
-// (Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", 2001).
+// chooseOwner picks the owner for a request by the last hints.
 func (c *Control) chooseOwner(row *homeRequest, now time.Time) (string, bool) {
 	var open []string
 	for _, owner := range c.fleet.routes[row.spec.Service] {
@@ -104,12 +103,7 @@
 	if len(open) == 0 {
 		return "", false
 	}
-	first := open[c.Random.IntN(len(open))]
-	second := open[c.Random.IntN(len(open))]
-	chosen := first
-	if c.load(second, row.spec.Service) < c.load(first, row.spec.Service) {
-		chosen = second
-	}
+	chosen := c.lightest(open, func(owner string) float64 { return c.load(owner, row.spec.Service) })
 	c.countSent(chosen, row.spec.Service)
 	return chosen, true
 }
@@ -131,3 +125,20 @@
 		services[service] = h
 	}
 }
+
+// lightest returns the member with the least load. In a small cell all are
+// compared; in a larger one two at random (Mitzenmacher, "The Power of Two
+// Choices in Randomized Load Balancing", 2001), because hints are older there and
+// many would choose the same. The list must not be empty.
+func (c *Control) lightest(members []string, load func(string) float64) string {
+	chosen := members[c.Random.IntN(len(members))]
+	if !c.everyoneTold() {
+		members = []string{members[c.Random.IntN(len(members))]}
+	}
+	for _, m := range members {
+		if load(m) < load(chosen) {
+			chosen = m
+		}
+	}
+	return chosen
+}
--- a/tanagerd/tanagercontrol/joboffer.go
+++ b/tanagerd/tanagercontrol/joboffer.go
@@ -6,6 +6,7 @@
 
 	"tanagersail.example/tanager/tanagerjob"
 	"tanagersail.example/tanager/tanagerqueue"
+	"tanagersail.example/tanager/tanagerresource"
 	"tanagersail.example/tanagerd/tanagermessage"
 )
 
@@ -75,6 +76,7 @@
 	t.Owner = owner
 	t.Attempt = nextAttempt(js.epoch, t.Attempt)
 	c.jobs.offers[offerOf(j, owner)]++
+	c.countOffered(owner, j.Spec.Resources)
 	offer := tanagermessage.TaskOffer{
 		Shard:          js.shard,
 		Epoch:          js.epoch,
@@ -124,8 +126,7 @@
 	return withinQuota(js.held[j.Branch].Plus(j.Spec.Resources), rules.Quota)
 }
 
-// chooseWorkerOwner picks the better of two random owners of workers by the
-// part of their workers that is free.
+// chooseWorkerOwner picks an owner of workers by the part of them that is free.
 func (c *Control) chooseWorkerOwner(j *tanagerjob.Job, t *tanagerjob.Task, now time.Time) (string, bool) {
 	var open []string
 	for _, owner := range c.fleet.workerOwners {
@@ -139,12 +140,15 @@
 	if len(open) == 0 {
 		return "", false
 	}
-	first := open[c.Random.IntN(len(open))]
-	second := open[c.Random.IntN(len(open))]
-	if c.offerLoad(second, j) < c.offerLoad(first, j) {
-		return second, true
+	return c.lightest(open, func(owner string) float64 { return c.offerLoad(owner, j) }), true
+}
+
+// countOffered corrects the last hint by what was offered since.
+func (c *Control) countOffered(owner string, r tanagerresource.Vector) {
+	if h, known := c.hints[owner]; known {
+		h.free = h.free.Minus(r)
+		c.hints[owner] = h
 	}
-	return first, true
 }
 
 // offerLoad rates an owner for a task; less is better. An owner whose workers
--- a/tanagerd/tanagercontrol/request_test.go
+++ b/tanagerd/tanagercontrol/request_test.go
@@ -306,3 +306,34 @@
 	h.Assert(h.answer(1).Failure.Code, qt.Equals, tanagerfailure.UnknownBranch)
 	h.Assert(h.io.runs, qt.HasLen, 0)
 }
+
+// TestSmallCellComparesAllOwners tells the loads of two owners and checks that
+// requests go to the lighter one until what was sent has evened them out.
+func TestSmallCellComparesAllOwners(t *testing.T) {
+	h := newHarness(t)
+	h.owners("d2", "d3", "d3", "d3")
+	h.vms(target(h.named("t", 0), 8), target(h.named("u", 1), 8))
+	for member, free := range map[string]int{
+		"d2": 2,
+		"d3": 6,
+	} {
+		h.say(member, tanagermessage.TopicGossip, tanagermessage.Gossip{
+			Services: []tanagermessage.ServiceHint{
+				{
+					Service: "ladder",
+					Slots:   8,
+					Free:    free,
+				},
+			},
+		})
+	}
+	sent := make(map[string]int)
+	for i := range 8 {
+		h.arrive(uint64(i+1), request("", true))
+		sent[h.out.messages[len(h.out.messages)-1].to]++
+	}
+	h.Assert(sent, qt.DeepEquals, map[string]int{
+		"d2": 2,
+		"d3": 6,
+	})
+}
