Mark the minutes of the burn plot; shorten waits on its page

Cause: the page was looked at: the last mark was cut off, minutes had decimals and a minus, and waits had nine digits. Ruled out: nothing. Change: a mark every ten minutes, a margin, waits with about three digits.

--- a/tanager/tanagerburn/html.go
+++ b/tanager/tanagerburn/html.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"html/template"
 	"io"
+	"strconv"
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
@@ -21,7 +22,7 @@
 	plottedRows = 12
 )
 
-var page = template.Must(template.New("report").Parse(`<!DOCTYPE html>
+var page = template.Must(template.New("report").Funcs(template.FuncMap{"short": short}).Parse(`<!DOCTYPE html>
 <html lang="en">
 <head>
 <meta charset="utf-8">
@@ -43,7 +44,7 @@
 <tr><th>Branch</th><th>Class</th><th>Good</th><th>Bad</th><th>Objective</th>
 <th>Burn 1 h</th><th>Burn 6 h</th><th>Burn 24 h</th><th>Wait p50</th><th>Wait p99</th><th>Wait p99.9</th><th>Alert</th></tr>
 {{range .Report.Rows}}<tr class="{{.Alert}}"><td>{{.Key.Branch}}</td><td>{{.Key.Class}}</td><td>{{.Good}}</td><td>{{.Bad}}</td>
-<td>{{.Objective}}</td>{{range .Burn}}<td>{{printf "%.2f" .}}</td>{{end}}<td>{{.P50}}</td><td>{{.P99}}</td><td>{{.P999}}</td><td>{{.Alert}}</td></tr>
+<td>{{.Objective}}</td>{{range .Burn}}<td>{{printf "%.2f" .}}</td>{{end}}<td>{{short .P50}}</td><td>{{short .P99}}</td><td>{{short .P999}}</td><td>{{.Alert}}</td></tr>
 {{end}}</table>
 <h2>Burn rate by minute, last hour</h2>
 {{.Plot}}
@@ -76,6 +77,9 @@
 	p.X.Label.Text = "minutes before the report"
 	p.Y.Label.Text = "burn rate"
 	p.Y.Min = 0
+	p.X.Min = -float64(plottedMinutes)
+	p.X.Max = 1
+	p.X.Tick.Marker = plot.ConstantTicks(minuteTicks())
 	p.Legend.Top = true
 	p.Legend.Left = true
 	for i, row := range r.Rows[:min(len(r.Rows), plottedRows)] {
@@ -99,6 +103,18 @@
 	return template.HTML(out.Bytes()[start:]), nil
 }
 
+// minuteTicks marks every tenth minute.
+func minuteTicks() []plot.Tick {
+	var ticks []plot.Tick
+	for m := plottedMinutes; m >= 0; m -= 10 {
+		ticks = append(ticks, plot.Tick{
+			Value: -float64(m),
+			Label: strconv.Itoa(m),
+		})
+	}
+	return ticks
+}
+
 func points(rates []float64) plotter.XYs {
 	xy := make(plotter.XYs, len(rates))
 	for i, rate := range rates {
--- a/tanager/tanagerburn/report.go
+++ b/tanager/tanagerburn/report.go
@@ -120,9 +120,12 @@
 	return float64(bad) / float64(good+bad) / (1 - o.Good)
 }
 
+// plottedMinutes is the length of the history in a report.
+const plottedMinutes = 60
+
 // hour returns the burn rate of each of the last 60 minutes.
 func (s *mergedSeries) hour(o Objective, now time.Time) []float64 {
-	rates := make([]float64, 60)
+	rates := make([]float64, plottedMinutes)
 	last := now.Unix() / 60
 	for i := range rates {
 		m := s.minutes[last-int64(len(rates)-1-i)]
