Give a caller the whole answer of a target that failed

Cause: the answer of a target with a status of 500 or above was replaced by a failure of ours, so its caller did not get the whole answer to its request. Ruled out: status 200 with the outcome in the body (callers look at the status). Change: status and body are passed on with outcome failed; the client returns them with its error.

--- a/tanagerctl/caller.go
+++ b/tanagerctl/caller.go
@@ -10,6 +10,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"tanagersail.example/tanager/tanagerfailure"
 	"tanagersail.example/tanagerctl/tanagerclient"
 )
 
@@ -160,9 +161,8 @@
 	if answer.ID != "" {
 		fmt.Fprintf(os.Stderr, "request id %s, target %s, queued %s\n", answer.ID, answer.Target, answer.Queued)
 	}
-	if err != nil {
-		return err
+	if answer.Outcome == tanagerfailure.Done || answer.Outcome == tanagerfailure.Failed {
+		fmt.Println(string(answer.Body))
 	}
-	fmt.Println(string(answer.Body))
-	return nil
+	return err
 }
--- a/tanagerctl/tanagerclient/caller.go
+++ b/tanagerctl/tanagerclient/caller.go
@@ -46,7 +46,8 @@
 	return body.IDs, err
 }
 
-// Do runs a request. It returns a Refused error for every outcome but done.
+// Do runs a request. It returns a Refused error for every outcome but done. The
+// answer of a target that failed comes with the error.
 func (c *Client) Do(ctx context.Context, r Request) (Answer, error) {
 	header := http.Header{}
 	if r.ID != "" {
@@ -80,10 +81,13 @@
 		Target:  got.header.Get("Tanager-Target"),
 		Queued:  queued,
 	}
-	if a.Outcome != tanagerfailure.Done {
-		return a, got.failure()
+	switch a.Outcome {
+	case tanagerfailure.Done:
+		return a, nil
+	case tanagerfailure.Failed:
+		return a, refused(tanagerfailure.New(tanagerfailure.TargetFailed, "the target answered with status "+strconv.Itoa(a.Status)))
 	}
-	return a, nil
+	return a, got.failure()
 }
 
 // Job is a job to submit.
--- a/tanagerctl/tanagerclient/client.go
+++ b/tanagerctl/tanagerclient/client.go
@@ -183,6 +183,10 @@
 		Outcome:    body.Outcome,
 		RetryAfter: time.Duration(body.RetryAfterMS) * time.Millisecond,
 	}
+	return refused(f)
+}
+
+func refused(f *tanagerfailure.Failure) error {
 	return Refused.New("%s: %s (%s)", f.Code, f.Message, f.Hint).WithProperty(failureProperty, f)
 }
 
--- a/tanagerd/tanagerapi/request.go
+++ b/tanagerd/tanagerapi/request.go
@@ -54,8 +54,8 @@
 }
 
 // handleRequest runs a request at a target: POST
-// /v1/services/{service}/requests/{path}. Done answers carry the target's
-// status and body.
+// /v1/services/{service}/requests/{path}. Done and failed answers carry the
+// target's status and body.
 func (a *API) handleRequest(w http.ResponseWriter, r *http.Request, id identity) {
 	spec, failure := a.requestSpec(w, r, id)
 	if failure != nil {
@@ -124,11 +124,16 @@
 		h.Set(TargetHeader, answer.Target)
 		h.Set(QueuedHeader, answer.Queued.String())
 	}
+	outcome := tanagerfailure.Done
 	if answer.Failure != nil {
-		a.fail(w, answer.Failure)
-		return
+		if answer.Failure.Code != tanagerfailure.TargetFailed {
+			a.fail(w, answer.Failure)
+			return
+		}
+		// The target's own answer says more than a failure could.
+		outcome = tanagerfailure.Failed
 	}
-	h.Set(OutcomeHeader, string(tanagerfailure.Done))
+	h.Set(OutcomeHeader, string(outcome))
 	h.Set("Content-Type", "application/json")
 	w.WriteHeader(answer.Status)
 	if _, err := w.Write(answer.Body); err != nil {
