--- a/tanager/tanagershare/backlog.go
+++ b/tanager/tanagershare/backlog.go
@@ -41,6 +41,8 @@
 	length  int
 	rank    float64
 	boosted bool
+	// blocked are the classes that are passed over in the present round.
+	blocked [classes]bool
 	index   int
 }
 
@@ -155,7 +157,7 @@
 	b.start()
 	for len(b.ready.rows) > 0 {
 		r := b.ready.rows[0]
-		class, ok := r.first(b.ready.blocked[r.name])
+		class, ok := r.first()
 		if !ok {
 			heap.Pop(&b.ready)
 			continue
@@ -180,11 +182,11 @@
 // start fills the heap with the branches that have tasks waiting.
 func (b *Backlog[T]) start() {
 	b.ready.rows = b.ready.rows[:0]
-	b.ready.blocked = make(map[string]blockedClasses)
 	for _, r := range b.rows {
 		if r.length == 0 {
 			continue
 		}
+		r.blocked = [classes]bool{}
 		b.rank(r)
 		r.index = len(b.ready.rows)
 		b.ready.rows = append(b.ready.rows, r)
@@ -193,9 +195,7 @@
 }
 
 func (b *Backlog[T]) block(r *row[T], class tanagerqueue.Class) {
-	blocked := b.ready.blocked[r.name]
-	blocked[class] = true
-	b.ready.blocked[r.name] = blocked
+	r.blocked[class] = true
 	b.update(r)
 }
 
@@ -207,7 +207,7 @@
 // rank computes where a branch stands in the round.
 func (b *Backlog[T]) rank(r *row[T]) {
 	r.rank = r.held.DominantShare(b.total) / r.rules.Weight
-	class, ok := r.first(b.ready.blocked[r.name])
+	class, ok := r.first()
 	r.boosted = false
 	if ok && class == tanagerqueue.Urgent {
 		after := r.urgent.Plus(r.waiting[class][0].Demand)
@@ -216,9 +216,9 @@
 }
 
 // first returns the most urgent class that has a task and is not blocked.
-func (r *row[T]) first(blocked blockedClasses) (tanagerqueue.Class, bool) {
+func (r *row[T]) first() (tanagerqueue.Class, bool) {
 	for c := range r.waiting {
-		if blocked[c] {
+		if r.blocked[c] {
 			continue
 		}
 		r.trim(c)
@@ -246,13 +246,10 @@
 
 func within(amount, bound int64) bool { return bound == 0 || amount <= bound }
 
-type blockedClasses [classes]bool
-
 // rowHeap orders branches for one round: urgent work inside its share first,
 // then the smallest weighted dominant share.
 type rowHeap[T any] struct {
-	rows    []*row[T]
-	blocked map[string]blockedClasses
+	rows []*row[T]
 }
 
 func (h *rowHeap[T]) Len() int { return len(h.rows) }
