--- a/tanager/tanagerfailure/failure.go
+++ b/tanager/tanagerfailure/failure.go
@@ -31,22 +31,18 @@
 	UnknownBranch       Code = "unknown_branch"
 	UnknownService      Code = "unknown_service"
 	UnknownJob          Code = "unknown_job"
-	UnknownPlan         Code = "unknown_plan"
 	DeadlinePassed      Code = "deadline_passed"
 	DeadlineUnreachable Code = "deadline_unreachable"
 	QueueFull           Code = "queue_full"
 	NoOwner             Code = "no_owner"
 	NoTarget            Code = "no_target"
-	Draining            Code = "draining"
 	StoreUnavailable    Code = "store_unavailable"
 	OutcomeUnknown      Code = "outcome_unknown"
 	RequestIDLost       Code = "request_id_lost"
 	RequestIDExpired    Code = "request_id_expired"
 	RequestIDReused     Code = "request_id_reused"
 	TargetFailed        Code = "target_failed"
-	RetriesExhausted    Code = "retries_exhausted"
 	JobImpossible       Code = "job_impossible"
-	QuotaExceeded       Code = "quota_exceeded"
 	LimitExceeded       Code = "limit_exceeded"
 	StalePlan           Code = "stale_plan"
 	Cancelled           Code = "cancelled"
@@ -99,11 +95,6 @@
 		outcome: NotRun,
 		hint:    "check the job id",
 	},
-	UnknownPlan: {
-		status:  http.StatusNotFound,
-		outcome: NotRun,
-		hint:    "make a new plan",
-	},
 	DeadlinePassed: {
 		status:  http.StatusServiceUnavailable,
 		outcome: NotRun,
@@ -129,11 +120,6 @@
 		outcome: NotRun,
 		hint:    "come back after the stated time",
 	},
-	Draining: {
-		status:  http.StatusServiceUnavailable,
-		outcome: NotRun,
-		hint:    "send to another daemon",
-	},
 	StoreUnavailable: {
 		status:  http.StatusServiceUnavailable,
 		outcome: NotRun,
@@ -164,21 +150,11 @@
 		outcome: Failed,
 		hint:    "the target answered with an error",
 	},
-	RetriesExhausted: {
-		status:  http.StatusServiceUnavailable,
-		outcome: NotRun,
-		hint:    "come back after the stated time",
-	},
 	JobImpossible: {
 		status:  http.StatusUnprocessableEntity,
 		outcome: NotRun,
 		hint:    "ask for less than the largest worker holds",
 	},
-	QuotaExceeded: {
-		status:  http.StatusTooManyRequests,
-		outcome: NotRun,
-		hint:    "wait for running work to end or ask for a larger quota",
-	},
 	LimitExceeded: {
 		status:  http.StatusUnprocessableEntity,
 		outcome: NotRun,
@@ -196,15 +172,6 @@
 	},
 }
 
-// Codes returns every public code, for documentation and tests.
-func Codes() []Code {
-	codes := make([]Code, 0, len(properties))
-	for c := range properties {
-		codes = append(codes, c)
-	}
-	return codes
-}
-
 // Failure is a typed, final answer other than Done. The zero value is not a
 // valid failure.
 type Failure struct {
--- a/tanager/tanagerplace/fleet.go
+++ b/tanager/tanagerplace/fleet.go
@@ -246,19 +246,6 @@
 // Holding returns what a task holds, or nil.
 func (f *Fleet) Holding(task string) *Holding { return f.holdings[task] }
 
-// HeldBy returns the tasks of a worker.
-func (f *Fleet) HeldBy(worker string) []*Holding {
-	row := f.workers[worker]
-	if row == nil {
-		return nil
-	}
-	list := make([]*Holding, 0, len(row.holdings))
-	for _, h := range row.holdings {
-		list = append(list, h)
-	}
-	return list
-}
-
 // Observe notes what a task was seen to use and returns by how much its holding
 // has grown.
 func (f *Fleet) Observe(task string, usage tanagerresource.Vector) tanagerresource.Vector {
--- a/tanager/tanagerrequest/registry.go
+++ b/tanager/tanagerrequest/registry.go
@@ -131,14 +131,6 @@
 	return &added.value, true, nil
 }
 
-// Find returns the row of a request that is still remembered, or nil.
-func (r *Registry[T]) Find(id ID) *T {
-	if found := r.rows[id]; found != nil {
-		return &found.value
-	}
-	return nil
-}
-
 // Len returns the number of remembered requests.
 func (r *Registry[T]) Len() int { return len(r.rows) }
 
