--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -35,11 +35,12 @@
 done
 $ctl apply examples/local/branches.yaml
 sleep 8 # the roster takes in one daemon for each length of a lease
-$ctl plan examples/local/spring-pruning.yaml --save "$logs/plan.json"
-$ctl confirm "$logs/plan.json"
 $ctl status
 (
-  sleep 6
+  sleep 3
+  $ctl plan examples/local/spring-pruning.yaml --save "$logs/plan.json"
+  $ctl confirm "$logs/plan.json"
+  sleep 3
   echo "Killing daemon d2 (process $second)."
   kill -9 "$second"
 ) &
