Refuse request ids whose time of issue overflows

Cause: fuzzing of Parse found that 0.700000000.0 became 0.glokuxoy.0: the time of issue in milliseconds overflowed when it was turned into a Duration, so an id that was never issued could pass for a recent one. Ruled out: the text form (it round-trips for every time a process can reach).

--- a/tanager/tanagerrequest/registry.go
+++ b/tanager/tanagerrequest/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +26,9 @@
 	return id.Home + "." + strconv.FormatInt(id.Issued.Milliseconds(), 36) + "." + strconv.FormatUint(id.Number, 36)
 }
 
+// maxIssued is the largest time of issue, in milliseconds, that a Duration holds.
+const maxIssued = int64(math.MaxInt64 / time.Millisecond)
+
 // Parse returns the id of a text form, or a failure with the code
 // invalid_field.
 func Parse(text string) (ID, *tanagerfailure.Failure) {
@@ -33,7 +37,7 @@
 		return ID{}, malformed(text)
 	}
 	issued, err := strconv.ParseInt(parts[1], 36, 64)
-	if err != nil || issued < 0 {
+	if err != nil || issued < 0 || issued > maxIssued {
 		return ID{}, malformed(text)
 	}
 	number, err := strconv.ParseUint(parts[2], 36, 64)
