Show branches and shards on the command line

Cause: status told how many shards a daemon owns, not which, and the branches' rules with their exceptions could be read only as JSON. Ruled out: wider status rows.

--- a/tanagerctl/main.go
+++ b/tanagerctl/main.go
@@ -6,6 +6,7 @@
 //	tanagerctl plan intent.yaml --save plan.json
 //	tanagerctl confirm plan.json
 //	tanagerctl status
+//	tanagerctl branches
 //	tanagerctl burn --html burn.html
 //
 // The daemons and the token may also come from TANAGER_DAEMONS (separated by
@@ -47,6 +48,7 @@
 	commands := make(map[string]command)
 	addCallerCommands(app, commands)
 	addOperatorCommands(app, commands)
+	addTableCommands(app, commands)
 	addPlayCommand(app, commands)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 
