Compute plans off the control goroutine; measure what CAPACITY had guessed

Measured, a plan over 110 waiting branches took 55.5 ms on the control goroutine, during which it served nothing. Ruled out: fewer units a fleet (shares would be coarser). Change: a branch's next unit is queued when the one before has its place; the operator's goroutine computes the plan; gossip in cells of more than nine daemons every 2 s, because with configuration and plans counted 7 KB/s would not hold; tanagerbench control measures the rest.

--- a/tanager/tanagerplan/plan.go
+++ b/tanager/tanagerplan/plan.go
@@ -170,6 +170,14 @@
 		CPU: 1,
 	}
 	backlog := tanagershare.New[struct{}](whole)
+	// A branch's next unit waits only once the one before it has its place.
+	waiting := make(map[string]int, len(uses))
+	next := func(branch string) {
+		if waiting[branch] > 0 {
+			waiting[branch]--
+			backlog.Push(branch, tanagerqueue.Normal, unit, struct{}{})
+		}
+	}
 	for _, u := range uses {
 		rules, ok := s.Effective(u.Branch, at)
 		if !ok {
@@ -178,14 +186,17 @@
 		backlog.SetBranch(u.Branch, tanagershare.Branch{
 			Weight: rules.Weight,
 		})
-		for range demand(u) {
-			backlog.Push(u.Branch, tanagerqueue.Normal, unit, struct{}{})
-		}
+		waiting[u.Branch] = demand(u)
+		next(u.Branch)
 	}
 	left := units
-	backlog.Round(func(*tanagershare.Entry[struct{}]) bool {
+	backlog.Round(func(e *tanagershare.Entry[struct{}]) bool {
+		if left == 0 {
+			return false
+		}
 		left--
-		return left >= 0
+		next(e.Branch)
+		return true
 	})
 	result := make(map[string]float64, len(uses))
 	for _, u := range uses {
--- a/tanagerbench/control.go
+++ b/tanagerbench/control.go
@@ -35,6 +35,10 @@
 	benchTables(t, seed)
 	benchAdoption(t, seed)
 	benchRequestPath(t, seed)
+	benchRemembered(t, seed)
+	benchConfiguration(t)
+	benchList(t, seed)
+	benchTaskCalls(t)
 	benchSizes(t)
 	_ = t.Flush()
 }
--- a/tanagerd/tanagerapi/operator.go
+++ b/tanagerd/tanagerapi/operator.go
@@ -13,6 +13,7 @@
 	"tanagersail.example/tanager/tanagerconfig"
 	"tanagersail.example/tanager/tanagerfailure"
 	"tanagersail.example/tanager/tanagerjournal"
+	"tanagersail.example/tanager/tanagerplan"
 	"tanagersail.example/tanager/tanagerstore"
 	"tanagersail.example/tanager/tanagerwire"
 	"tanagersail.example/tanagerd/tanagercontrol"
@@ -49,20 +50,22 @@
 		a.fail(w, failure)
 		return
 	}
-	answer, ok := ask[tanagercontrol.PlanAnswer](r.Context(), a, controlTimeout, tanagermessage.TopicPlanWanted, func(waiter uint64) any {
+	input, ok := ask[tanagerplan.Input](r.Context(), a, controlTimeout, tanagermessage.TopicPlanWanted, func(waiter uint64) any {
 		return tanagermessage.PlanWanted{
 			Waiter: waiter,
 			Intent: intent,
 		}
 	})
-	switch {
-	case !ok:
+	if !ok {
 		a.fail(w, overloaded())
-	case answer.Failure != nil:
-		a.fail(w, answer.Failure)
-	default:
-		a.write(w, http.StatusOK, answer.Plan)
+		return
+	}
+	plan, failure := tanagerplan.Compute(input)
+	if failure != nil {
+		a.fail(w, failure)
+		return
 	}
+	a.write(w, http.StatusOK, plan)
 }
 
 // confirmBody is the body of POST /v1/plans/confirm: the plan's revision and
--- a/tanagerd/tanagercontrol/gossip.go
+++ b/tanagerd/tanagercontrol/gossip.go
@@ -24,8 +24,13 @@
 type gossipState struct {
 	last  tanagermessage.Gossip
 	whole time.Time
+	at    time.Time
 }
 
+// largeCellInterval is the time between two messages in a cell in which gossip
+// only repairs what watches and answers have missed.
+const largeCellInterval = 2 * time.Second
+
 // wholeInterval is the longest time between two whole messages. A daemon that
 // has just joined knows nothing until the next.
 const wholeInterval = 2 * time.Second
@@ -43,6 +48,10 @@
 	c.checkDrained()
 	g := c.ownGossip()
 	c.gossiped(c.self, g, now)
+	if !c.everyoneTold() && now.Sub(c.told.at) < largeCellInterval {
+		return
+	}
+	c.told.at = now
 	if reflect.DeepEqual(g, c.told.last) && now.Sub(c.told.whole) < wholeInterval {
 		g = tanagermessage.Gossip{
 			Same: true,
--- a/tanagerd/tanagercontrol/plan.go
+++ b/tanagerd/tanagercontrol/plan.go
@@ -54,18 +54,15 @@
 }
 
 // tendPlans answers the plans for which all daemons have told, or the time has
-// passed.
+// passed. The operator's goroutine computes the plan: it takes longer than this
+// goroutine may be away.
 func (c *Control) tendPlans(now time.Time) {
 	for number, row := range c.plans.waiting {
 		if row.missing > 0 && now.Before(row.due) {
 			continue
 		}
 		delete(c.plans.waiting, number)
-		plan, failure := tanagerplan.Compute(c.planInput(row))
-		c.Effects.Answer(row.waiter, PlanAnswer{
-			Plan:    plan,
-			Failure: failure,
-		})
+		c.Effects.Answer(row.waiter, c.planInput(row))
 	}
 }
 
--- a/tanagerd/tanagercontrol/request_test.go
+++ b/tanagerd/tanagercontrol/request_test.go
@@ -1,6 +1,7 @@
 package tanagercontrol
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -337,3 +338,18 @@
 		"d3": 6,
 	})
 }
+
+func TestLargeCellGossipsLittle(t *testing.T) {
+	h := newHarness(t)
+	h.ownTarget(8)
+	for i := 4; i <= smallCell+1; i++ {
+		h.joins(fmt.Sprintf("d%d", i))
+	}
+	h.pass(3*time.Second, true)
+	take[tanagermessage.Gossip](h.C, h.out, tanagermessage.TopicGossip)
+	const periods = 5
+	h.pass(periods*largeCellInterval, true)
+	told := len(take[tanagermessage.Gossip](h.C, h.out, tanagermessage.TopicGossip))
+	h.Assert(told > 0, qt.IsTrue)
+	h.Assert(told <= (periods+1)*gossipPeers, qt.IsTrue, qt.Commentf("%d messages", told))
+}
--- a/tanagerd/tanagercontrol/status.go
+++ b/tanagerd/tanagercontrol/status.go
@@ -6,7 +6,6 @@
 	"tanagersail.example/tanager/tanagerburn"
 	"tanagersail.example/tanager/tanagerfailure"
 	"tanagersail.example/tanager/tanagerjob"
-	"tanagersail.example/tanager/tanagerplan"
 	"tanagersail.example/tanager/tanagerresource"
 	"tanagersail.example/tanagerd/tanagermessage"
 )
@@ -210,9 +209,3 @@
 	}
 	return n
 }
-
-// PlanAnswer answers a PlanWanted.
-type PlanAnswer struct {
-	Plan    tanagerplan.Plan
-	Failure *tanagerfailure.Failure
-}
