--- /dev/null
+++ b/tanager/tanagerdispatch/job.go
@@ -0,0 +1,679 @@
+package tanagerdispatch
+
+import (
+	"slices"
+	"time"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// job is a row of the table of jobs.
+type job struct {
+	record tanagerwork.Record
+	queue  *queue
+	state  tanagerwork.State
+	begun  bool
+	// inherited jobs may have runs that a predecessor started and this
+	// scheduler has not seen yet.
+	inherited bool
+	steps     []*step
+	// nextOccurrence is the first one whose steps have not been laid out.
+	nextOccurrence int
+	openSteps      int
+	// objective is the time within which the caller wants the job done.
+	objective time.Duration
+	// version counts changes of the progress; written is the newest version in
+	// the store and writing the one on its way there.
+	version, written, writing int64
+	ended                     time.Time
+}
+
+// step is a row of the table of steps, one for each occurrence.
+type step struct {
+	job  *job
+	name tanagerwork.StepName
+	spec *tanagerwork.Step
+	// due is when the occurrence may start.
+	due        time.Time
+	tasks      []task
+	left       int
+	waitsFor   int
+	dependents []*step
+	// chain is the longest chain of estimates from the step's start to the end
+	// of its occurrence.
+	chain time.Duration
+	// active counts attempts; pending counts tasks that wait for one.
+	active, pending int
+	queued          bool
+	// notBefore delays the next try after a failure.
+	notBefore time.Time
+	spread    map[*worker]int
+	// lastRun is the highest run number of a gang.
+	gang gangState
+	// tickets
+	advice adviceState
+	// blockedAt is the version of the fleet's room at which the step did not
+	// fit.
+	blockedAt uint64
+}
+
+type gangState struct {
+	run      int64
+	failures int
+	saved    string
+	// broken marks the present run as ending: its members are being stopped.
+	broken bool
+}
+
+// task is one unit of a step.
+type task struct {
+	done     bool
+	failures int
+	run      int64
+	saved    string
+	attempt  *attempt
+}
+
+// phase is the state of an attempt.
+type phase uint8
+
+const (
+	// starting: the order was sent and is not answered.
+	starting phase = iota
+	// running: the worker has accepted the order or shown the run.
+	running
+	// stopping: the worker has been told to stop the run.
+	stopping
+)
+
+// attempt is one run of a task on a worker. It takes room until it is removed.
+type attempt struct {
+	step   *step
+	index  int
+	run    int64
+	worker *worker
+	phase  phase
+	tries  int
+	// since is when the phase began; confirmed when the worker last showed it.
+	since time.Time
+	// started is when the worker accepted the start.
+	started time.Time
+	// stopSent is when the last stop was sent, stopAnswered when the worker
+	// answered one.
+	stopSent     time.Time
+	stopInFlight bool
+	stopAnswered time.Time
+	reason       string
+	percent      int
+	progressAt   time.Time
+	// paced is the pace that was ordered, at pacedAt; gauge is the worker's
+	// figure for the last half second.
+	paced   int
+	pacedAt time.Time
+	gauge   float64
+}
+
+func (a *attempt) name() tanagerwork.TaskName {
+	return tanagerwork.TaskName{
+		StepName: a.step.name,
+		Index:    a.index,
+	}
+}
+
+// AddJob adds an accepted job, with its stored progress if it has any. A job
+// that is known already stays as it is, and one that a later epoch accepted is
+// not this scheduler's. It reports whether the job was added.
+func (c *Cell) AddJob(now time.Time, record tanagerwork.Record, progress *tanagerwork.Progress) bool {
+	if _, known := c.jobs[record.ID]; known || record.Epoch > c.epoch {
+		return false
+	}
+	j := &job{
+		record:    record,
+		queue:     c.queueOf(record.Queue, record.Service),
+		state:     tanagerwork.Queued,
+		inherited: record.Epoch < c.epoch && len(c.unaccounted) > 0,
+	}
+	j.objective = j.queue.objective(&record.Spec)
+	c.jobs[record.ID] = j
+	j.queue.jobs++
+	if progress != nil && progress.State.Final() {
+		j.state = progress.State
+		j.ended = now
+		return true
+	}
+	c.open[record.ID] = j
+	c.layOut(now, j)
+	if progress != nil {
+		j.begun = progress.Begun
+		c.restore(j, progress)
+	}
+	c.note(Note{
+		Event:  "job_added",
+		Job:    record.ID,
+		Queue:  record.Queue,
+		Reason: inheritance(j.inherited),
+	})
+	return true
+}
+
+func inheritance(inherited bool) string {
+	if inherited {
+		return "inherited"
+	}
+	return "new"
+}
+
+// layOut creates the steps of the occurrences that fall due soon.
+func (c *Cell) layOut(now time.Time, j *job) {
+	spec := &j.record.Spec
+	for j.nextOccurrence < spec.Occurrences() {
+		due := j.record.Arrived
+		if spec.Times > 0 {
+			due = spec.FirstDue.Add(time.Duration(j.nextOccurrence) * spec.Interval)
+			if due.After(now.Add(layOutAhead)) {
+				return
+			}
+		}
+		c.layOutOccurrence(j, j.nextOccurrence, due)
+		j.nextOccurrence++
+	}
+}
+
+// layOutAhead is how long before its time an occurrence gets its rows.
+const layOutAhead = 500 * time.Millisecond
+
+func (c *Cell) layOutOccurrence(j *job, occurrence int, due time.Time) {
+	first := len(j.steps)
+	for i := range j.record.Spec.Steps {
+		spec := &j.record.Spec.Steps[i]
+		s := &step{
+			job: j,
+			name: tanagerwork.StepName{
+				Job:        j.record.ID,
+				Occurrence: occurrence,
+				Step:       i,
+			},
+			spec:     spec,
+			due:      due,
+			tasks:    make([]task, spec.Count),
+			left:     spec.Count,
+			pending:  spec.Count,
+			waitsFor: len(spec.After),
+			chain:    spec.Estimate,
+		}
+		for _, a := range spec.After {
+			before := j.steps[first+a]
+			before.dependents = append(before.dependents, s)
+		}
+		j.steps = append(j.steps, s)
+		j.openSteps++
+	}
+	for i := len(j.steps) - 1; i >= first; i-- {
+		s := j.steps[i]
+		for _, d := range s.dependents {
+			s.chain = max(s.chain, s.spec.Estimate+d.chain)
+		}
+		c.enqueue(s)
+	}
+}
+
+// enqueue puts a step whose tasks may start into the ready list.
+func (c *Cell) enqueue(s *step) {
+	if s.queued || s.waitsFor > 0 || s.pending == 0 || s.job.state.Final() {
+		return
+	}
+	s.queued = true
+	s.blockedAt = 0
+	c.ready = append(c.ready, s)
+}
+
+// restore applies stored progress.
+func (c *Cell) restore(j *job, p *tanagerwork.Progress) {
+	for _, sp := range p.Steps {
+		s := j.step(sp.Occurrence, sp.Step)
+		if s == nil {
+			continue
+		}
+		s.restore(&sp)
+		if sp.AllDone {
+			for i := range s.tasks {
+				c.taskDone(s, i)
+			}
+		}
+		for _, i := range sp.Done {
+			if i < len(s.tasks) {
+				c.taskDone(s, i)
+			}
+		}
+	}
+	j.written = j.version
+	delete(c.changed, j.record.ID)
+}
+
+// touch notes that a job's progress has changed.
+func (c *Cell) touch(j *job) {
+	j.version++
+	c.changed[j.record.ID] = j
+}
+
+func (s *step) restore(sp *tanagerwork.StepProgress) {
+	if s.spec.Gang {
+		s.gang.failures = sp.Failures[0]
+		s.gang.saved = sp.Saved[0]
+		return
+	}
+	for i, n := range sp.Failures {
+		if i < len(s.tasks) {
+			s.tasks[i].failures = n
+		}
+	}
+	for i, saved := range sp.Saved {
+		if i < len(s.tasks) {
+			s.tasks[i].saved = saved
+		}
+	}
+}
+
+func (j *job) step(occurrence, index int) *step {
+	for _, s := range j.steps {
+		if s.name.Occurrence == occurrence && s.name.Step == index {
+			return s
+		}
+	}
+	return nil
+}
+
+// taskDone marks a task as done and makes dependent steps eligible.
+func (c *Cell) taskDone(s *step, i int) {
+	t := &s.tasks[i]
+	if t.done {
+		return
+	}
+	t.done = true
+	if t.attempt == nil {
+		s.pending--
+	}
+	s.left--
+	c.touch(s.job)
+	if s.left > 0 {
+		return
+	}
+	s.job.openSteps--
+	for _, d := range s.dependents {
+		d.waitsFor--
+		c.enqueue(d)
+	}
+	c.checkCompleted(s.job)
+}
+
+func (c *Cell) checkCompleted(j *job) {
+	if j.state.Final() || j.openSteps > 0 || j.nextOccurrence < j.record.Spec.Occurrences() {
+		return
+	}
+	c.finish(j, tanagerwork.Completed, "all tasks done")
+}
+
+// finish gives a job its final state and stops what still runs of it.
+func (c *Cell) finish(j *job, state tanagerwork.State, reason string) {
+	if j.state.Final() {
+		return
+	}
+	j.state = state
+	j.ended = c.now
+	c.touch(j)
+	delete(c.open, j.record.ID)
+	c.note(Note{
+		Event:  "job_" + string(state),
+		Job:    j.record.ID,
+		Queue:  j.record.Queue,
+		Reason: reason,
+		Age:    c.now.Sub(j.record.Arrived),
+	})
+	for _, s := range j.steps {
+		for i := range s.tasks {
+			if a := s.tasks[i].attempt; a != nil {
+				c.stop(a, "job "+string(state))
+			}
+		}
+	}
+}
+
+// CancelJob cancels a job. It reports false for a job that is not known.
+func (c *Cell) CancelJob(id tanagerwork.JobID) bool {
+	j, known := c.jobs[id]
+	if !known {
+		return false
+	}
+	c.finish(j, tanagerwork.Cancelled, "cancelled by its caller")
+	return true
+}
+
+// begin notes that a task of a job has been started.
+func (c *Cell) begin(j *job) {
+	if j.state == tanagerwork.Queued {
+		j.state = tanagerwork.Running
+	}
+	if !j.begun {
+		j.begun = true
+		c.touch(j)
+	}
+}
+
+// State tells a job's state. A final state is told only once it is stored.
+func (c *Cell) State(id tanagerwork.JobID) (tanagerwork.State, bool) {
+	j, known := c.jobs[id]
+	if !known {
+		return "", false
+	}
+	if j.state.Final() && j.written < j.version {
+		return tanagerwork.Running, true
+	}
+	return j.state, true
+}
+
+// Pending counts the jobs of a queue of which no task has started. Jobs with
+// times are not counted.
+func (c *Cell) Pending() map[string]int {
+	counts := make(map[string]int, len(c.queues))
+	for name := range c.queues {
+		counts[name] = 0
+	}
+	for _, j := range c.open {
+		if !j.begun && j.record.Spec.Times == 0 {
+			counts[j.record.Queue]++
+		}
+	}
+	return counts
+}
+
+// dueOccurrences lays out the occurrences of timed jobs.
+func (c *Cell) dueOccurrences() {
+	for _, j := range c.timed() {
+		c.layOut(c.now, j)
+	}
+}
+
+func (c *Cell) timed() []*job {
+	var found []*job
+	for _, j := range c.open {
+		if j.nextOccurrence < j.record.Spec.Occurrences() {
+			found = append(found, j)
+		}
+	}
+	return found
+}
+
+// endAttempt removes an attempt and frees its room.
+func (c *Cell) endAttempt(a *attempt) {
+	s := a.step
+	t := &s.tasks[a.index]
+	if t.attempt != a {
+		return
+	}
+	t.attempt = nil
+	s.active--
+	if s.spread[a.worker]--; s.spread[a.worker] <= 0 {
+		delete(s.spread, a.worker)
+	}
+	a.worker.release(a)
+	c.roomVersion++
+	if !t.done {
+		s.pending++
+		c.enqueue(s)
+	}
+}
+
+// ended applies the end of a run that a worker has listed.
+func (c *Cell) ended(w *worker, row tanagerport.EndedRow) {
+	j, known := c.jobs[row.Task.Job]
+	if !known {
+		return
+	}
+	s := j.step(row.Task.Occurrence, row.Task.Step)
+	if s == nil || row.Task.Index >= len(s.tasks) {
+		return
+	}
+	c.note(Note{
+		Event:  "run_ended",
+		Job:    row.Task.Job,
+		Task:   row.Task,
+		Run:    row.Run,
+		Worker: w.id,
+		Reason: string(row.How),
+	})
+	t := &s.tasks[row.Task.Index]
+	t.run = max(t.run, row.Run)
+	s.gang.run = max(s.gang.run, row.Run*btoi(s.spec.Gang))
+	c.noteCheckpoint(s, row.Task.Index, row.Checkpoint)
+	current := t.attempt
+	if current != nil && (current.run != row.Run || current.worker != w) {
+		current = nil
+	}
+	c.learn(w, current, row.How)
+	if current != nil {
+		c.endAttempt(current)
+	}
+	c.begin(j)
+	c.touch(j)
+	c.applyEnd(s, row)
+}
+
+func btoi(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (c *Cell) applyEnd(s *step, row tanagerport.EndedRow) {
+	switch row.How {
+	case tanagerport.EndedDone:
+		c.applyDone(s, row.Task.Index)
+	case tanagerport.EndedFailed:
+		c.applyFailed(s, row)
+	default:
+		if s.spec.Gang && row.Run == s.gang.run {
+			c.breakGang(s, "member ended "+string(row.How))
+		}
+	}
+}
+
+// applyDone marks a task, or the whole gang, as done. A lasting task that ends
+// is started again.
+func (c *Cell) applyDone(s *step, index int) {
+	if s.spec.Lasting {
+		s.notBefore = c.now.Add(retryDelay)
+		return
+	}
+	if !s.spec.Gang {
+		c.taskDone(s, index)
+		if a := s.tasks[index].attempt; a != nil {
+			c.stop(a, "task done elsewhere")
+		}
+		return
+	}
+	for i := range s.tasks {
+		c.taskDone(s, i)
+	}
+}
+
+// retryDelay is the pause after a failed run, so that the next try finds the
+// worker's failure noted and fresh work goes first.
+const retryDelay = 100 * time.Millisecond
+
+func (c *Cell) applyFailed(s *step, row tanagerport.EndedRow) {
+	s.notBefore = c.now.Add(retryDelay)
+	failures := 0
+	if s.spec.Gang {
+		s.gang.failures++
+		failures = s.gang.failures
+		if row.Run == s.gang.run {
+			c.breakGang(s, "member failed")
+		}
+	} else {
+		t := &s.tasks[row.Task.Index]
+		t.failures++
+		failures = t.failures
+	}
+	if !s.spec.Lasting && failures >= s.job.queue.maxAttempts() {
+		c.finish(s.job, tanagerwork.Failed, "a task has used all its attempts")
+	}
+}
+
+// breakGang stops the other members of a gang's present run.
+func (c *Cell) breakGang(s *step, reason string) {
+	if s.active == 0 {
+		return
+	}
+	s.gang.broken = true
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil {
+			c.stop(a, reason)
+		}
+	}
+}
+
+func (c *Cell) noteCheckpoint(s *step, index int, saved string) {
+	if saved == "" {
+		return
+	}
+	if s.spec.Gang {
+		s.gang.saved = saved
+		return
+	}
+	s.tasks[index].saved = saved
+}
+
+// checkpoint returns what a task resumes from.
+func (s *step) checkpoint(index int) string {
+	if s.spec.Gang {
+		return s.gang.saved
+	}
+	return s.tasks[index].saved
+}
+
+// Snapshot is the progress of a job to be stored.
+type Snapshot struct {
+	Job      tanagerwork.JobID
+	Version  int64
+	Progress tanagerwork.Progress
+}
+
+// Unwritten returns up to limit snapshots of jobs whose progress has changed and
+// is not on its way to the store.
+func (c *Cell) Unwritten(limit int) []Snapshot {
+	var out []Snapshot
+	for id, j := range c.changed {
+		if len(out) == limit {
+			return out
+		}
+		if j.version <= max(j.written, j.writing) {
+			delete(c.changed, id)
+			continue
+		}
+		j.writing = j.version
+		out = append(out, Snapshot{
+			Job:      id,
+			Version:  j.version,
+			Progress: j.progress(),
+		})
+		delete(c.changed, id)
+	}
+	return out
+}
+
+// Written tells that a snapshot is in the store, or with ok false that it is
+// not known to be.
+func (c *Cell) Written(id tanagerwork.JobID, version int64, ok bool) {
+	j, known := c.jobs[id]
+	if !known {
+		return
+	}
+	if ok {
+		j.written = max(j.written, version)
+	}
+	if j.writing == version {
+		j.writing = 0
+	}
+	if j.version > j.written {
+		c.changed[id] = j
+	}
+}
+
+func (j *job) progress() tanagerwork.Progress {
+	p := tanagerwork.Progress{
+		State: j.state,
+		Begun: j.begun,
+	}
+	if j.state.Final() {
+		return p
+	}
+	for _, s := range j.steps {
+		if sp, any := s.progress(); any {
+			p.Steps = append(p.Steps, sp)
+		}
+	}
+	return p
+}
+
+func (s *step) progress() (tanagerwork.StepProgress, bool) {
+	sp := tanagerwork.StepProgress{
+		Occurrence: s.name.Occurrence,
+		Step:       s.name.Step,
+		AllDone:    s.left == 0,
+		Failures:   make(map[int]int),
+		Saved:      make(map[int]string),
+	}
+	if sp.AllDone {
+		return sp, true
+	}
+	if s.gang.failures > 0 {
+		sp.Failures[0] = s.gang.failures
+	}
+	if s.gang.saved != "" {
+		sp.Saved[0] = s.gang.saved
+	}
+	for i := range s.tasks {
+		t := &s.tasks[i]
+		if t.done {
+			sp.Done = append(sp.Done, i)
+			continue
+		}
+		if t.failures > 0 {
+			sp.Failures[i] = t.failures
+		}
+		if t.saved != "" {
+			sp.Saved[i] = t.saved
+		}
+	}
+	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Saved) > 0
+}
+
+// Expired returns ended jobs whose state need not be kept any more.
+func (c *Cell) Expired(now time.Time, limit int) []tanagerwork.JobID {
+	var out []tanagerwork.JobID
+	for id, j := range c.jobs {
+		if len(out) == limit {
+			break
+		}
+		if j.state.Final() && j.written >= j.version && now.Sub(j.ended) > c.settings.Retention && !j.holdsRoom() {
+			out = append(out, id)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (j *job) holdsRoom() bool {
+	return slices.ContainsFunc(j.steps, func(s *step) bool { return s.active > 0 })
+}
+
+// Forget drops a job whose keys have been removed from the store.
+func (c *Cell) Forget(id tanagerwork.JobID) {
+	if j, known := c.jobs[id]; known {
+		j.queue.jobs--
+		delete(c.jobs, id)
+		delete(c.changed, id)
+	}
+}
--- /dev/null
+++ b/tanager/tanagerdispatch/order.go
@@ -0,0 +1,128 @@
+package tanagerdispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+)
+
+// tier groups steps by what starting them now can still bring their callers.
+type tier uint8
+
+const (
+	// lasting tasks are restarted before anything else: they serve users.
+	lasting tier = iota
+	// onTime steps can still meet their job's objective.
+	onTime
+	// late steps can still end while their result is of some use.
+	late
+	// useless steps run only in room that nothing else wants.
+	useless
+)
+
+// rank is a step's place in the order.
+type rank struct {
+	tier  tier
+	slack time.Duration
+}
+
+// rank answers overload: when not all steps can be on time, those that still can
+// go first, by least slack, and those that cannot give way to them.
+func (c *Cell) rank(s *step) rank {
+	if s.spec.Lasting {
+		return rank{tier: lasting}
+	}
+	left := s.due.Add(s.job.objective).Sub(c.now) - s.chain
+	switch {
+	case left >= 0:
+		return rank{
+			tier:  onTime,
+			slack: left,
+		}
+	case left+(lateFactor-1)*s.job.objective >= 0:
+		return rank{
+			tier:  late,
+			slack: left,
+		}
+	}
+	return rank{
+		tier:  useless,
+		slack: -left,
+	}
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(cmp.Compare(r.tier, o.tier), cmp.Compare(r.slack, o.slack))
+}
+
+// schedule places what waits, in order of rank.
+func (c *Cell) schedule() {
+	c.clearReservations()
+	c.sortReady()
+	var asks []*step
+	reservations := 0
+	for _, s := range c.ready {
+		if s.pending == 0 || s.job.state.Final() || !c.mayStart(s) {
+			continue
+		}
+		if c.place(s) {
+			continue
+		}
+		if s.spec.Gang && reservations < maxReservations && c.reserve(s) {
+			reservations++
+		}
+		if c.wantsAdvice(s) {
+			asks = append(asks, s)
+		}
+	}
+	c.ask(asks)
+	c.ready = slices.DeleteFunc(c.ready, func(s *step) bool {
+		gone := s.pending == 0 || s.job.state.Final()
+		if gone {
+			s.queued = false
+		}
+		return gone
+	})
+}
+
+// maxReservations bounds the gangs that room is kept for at one time: more would
+// leave room empty for gangs that are far back.
+const maxReservations = 2
+
+func (c *Cell) sortReady() {
+	ranks := make(map[*step]rank, len(c.ready))
+	for _, s := range c.ready {
+		ranks[s] = c.rank(s)
+	}
+	slices.SortStableFunc(c.ready, func(a, b *step) int { return ranks[a].compare(ranks[b]) })
+}
+
+// mayStart reports whether a step's tasks may be started now, room aside.
+func (c *Cell) mayStart(s *step) bool {
+	if c.now.Before(s.due) || c.now.Before(s.notBefore) || !c.accounted(s.job) {
+		return false
+	}
+	return !s.spec.Gang || s.active == 0
+}
+
+// remaining returns how long an attempt will still run, by its estimate and the
+// worker's speed.
+func (c *Cell) remaining(a *attempt) time.Duration {
+	if a.phase == stopping {
+		return c.settings.StopGrace
+	}
+	if a.step.spec.Lasting {
+		return farFuture
+	}
+	whole := time.Duration(float64(a.step.spec.Estimate) * a.worker.health.slowness())
+	if a.percent > 0 && a.percent < 100 && !a.started.IsZero() {
+		left := float64(100-a.percent) / float64(a.percent) * float64(a.progressAt.Sub(a.started))
+		return max(time.Duration(left)-c.now.Sub(a.progressAt), 0)
+	}
+	return max(whole-c.now.Sub(a.since), 0)
+}
+
+// farFuture stands for the end of a task that has none.
+const farFuture = 24 * time.Hour
+
--- /dev/null
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -0,0 +1,81 @@
+package tanagerdispatch
+
+import (
+	"time"
+
+	"tanagersail.example/tanager/tanagerport"
+)
+
+// Inherit tells which workers a predecessor may have started tasks on. Tasks of
+// inherited jobs that no worker shows wait until each of these has answered a
+// poll of this epoch, has begun another life, or has certainly let its lease run
+// out. It must be called before AddJob.
+//
+// The predecessor may go on extending leases until a worker refuses its epoch,
+// which predecessorWindow bounds.
+func (c *Cell) Inherit(now time.Time, workers []string) {
+	c.now = now
+	lease := time.Duration(float64(c.settings.Lease) * (1 + clockDrift))
+	for _, id := range workers {
+		c.unaccounted[id] = now.Add(predecessorWindow + lease + lapseSlack)
+	}
+}
+
+// accountForPredecessor gives up on workers whose leases have run out.
+func (c *Cell) accountForPredecessor() {
+	for id, until := range c.unaccounted {
+		if c.now.After(until) {
+			delete(c.unaccounted, id)
+			c.note(Note{
+				Event:  "predecessor_lease_over",
+				Worker: id,
+			})
+		}
+	}
+}
+
+// accounted reports whether all runs of an inherited job are known.
+func (c *Cell) accounted(j *job) bool {
+	if !j.inherited {
+		return true
+	}
+	if len(c.unaccounted) > 0 {
+		return false
+	}
+	j.inherited = false
+	return true
+}
+
+// Roster returns the workers that a successor has to account for, and whether
+// some of them are not in the stored roster yet.
+func (c *Cell) Roster() (ids []string, changed bool) {
+	for id, w := range c.workers {
+		if w.listed || len(w.attempts) > 0 {
+			ids = append(ids, id)
+			changed = changed || !w.rostered
+		}
+	}
+	return ids, changed
+}
+
+// RosterStored tells that a roster is in the store: only its workers may be
+// used.
+func (c *Cell) RosterStored(ids []string) {
+	stored := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		stored[id] = true
+	}
+	for id, w := range c.workers {
+		w.rostered = stored[id]
+	}
+	c.roomVersion++
+}
+
+// Workers returns what is known of the workers, for status pages.
+func (c *Cell) Workers() []tanagerport.WorkerEntry {
+	out := make([]tanagerport.WorkerEntry, 0, len(c.workers))
+	for _, w := range c.workers {
+		out = append(out, w.entry)
+	}
+	return out
+}
--- /dev/null
+++ b/tanager/tanagerdispatch/settings.go
@@ -0,0 +1,48 @@
+package tanagerdispatch
+
+import "time"
+
+// Settings of a Cell. All fields are required.
+type Settings struct {
+	// Lease is how long a worker runs on without hearing from the scheduler.
+	Lease time.Duration
+	// StopGrace is how long a worker may take to stop a run.
+	StopGrace time.Duration
+	// Retention is how long the state of an ended job is kept.
+	Retention time.Duration
+	// RemoteFactor is how much longer a task takes away from its data.
+	RemoteFactor float64
+}
+
+const (
+	// clockDrift bounds how much slower a worker's clock may run; the platform
+	// states it.
+	clockDrift = 0.02
+	// lapseSlack is added to the end of a lease for the worker's own reaction.
+	lapseSlack = 300 * time.Millisecond
+	// predecessorWindow bounds how long a scheduler that has been replaced goes
+	// on extending leases: one poll until a worker refuses its epoch, and the
+	// timeout of that call.
+	predecessorWindow = 3 * time.Second
+	// pollWait is how long a worker may hold back its answer to a poll. It also
+	// bounds how old the progress of running tasks is.
+	pollWait = time.Second
+	// pollGap spaces the polls of one worker, so that ends that are close
+	// together share an answer.
+	pollGap = 25 * time.Millisecond
+	// pollRetry is the pause after a poll that failed.
+	pollRetry = 150 * time.Millisecond
+	// silentAfter is how long a worker may be silent and still get new work: a
+	// poll's wait and its transfer.
+	silentAfter = pollWait + 700*time.Millisecond
+	// startTries is how often an unanswered start is sent before it is stopped.
+	startTries = 2
+	// stopRetry is the pause before an unanswered stop is sent again.
+	stopRetry = 250 * time.Millisecond
+	// runsPerEpoch separates the run numbers of epochs, so that a new scheduler
+	// uses none that its predecessor may have used.
+	runsPerEpoch = 1000
+	// lateFactor times its objective is the time after which a job is of no use
+	// to its caller; the operator states it.
+	lateFactor = 3
+)
--- a/tanager/tanagerpeer/link.go
+++ b/tanager/tanagerpeer/link.go
@@ -19,6 +19,9 @@
 	to        string
 	address   netip.AddrPort
 	queue     chan *message.Message
+	// ctx ends when the link is abandoned or its transport closed.
+	ctx     context.Context
+	abandon context.CancelFunc
 
 	mu     sync.Mutex
 	closed bool
@@ -47,6 +50,7 @@
 }
 
 func (l *link) run() {
+	defer l.abandon()
 	connection, err := l.dial()
 	if err == nil {
 		l.serve(connection)
@@ -58,7 +62,7 @@
 }
 
 func (l *link) dial() (*websocket.Conn, error) {
-	ctx, cancel := context.WithTimeout(l.transport.ctx, l.transport.settings.DialTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, l.transport.settings.DialTimeout)
 	defer cancel()
 	header := http.Header{}
 	header.Set("Authorization", "Bearer "+l.transport.settings.Token)
@@ -78,7 +82,7 @@
 // serve writes queued messages until the connection fails.
 func (l *link) serve(connection *websocket.Conn) {
 	defer connection.CloseNow()
-	broken := connection.CloseRead(l.transport.ctx)
+	broken := connection.CloseRead(l.ctx)
 	for {
 		select {
 		case m := <-l.queue:
@@ -92,7 +96,7 @@
 }
 
 func (l *link) write(connection *websocket.Conn, m *message.Message) error {
-	ctx, cancel := context.WithTimeout(l.transport.ctx, l.transport.settings.WriteTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, l.transport.settings.WriteTimeout)
 	defer cancel()
 	data := tanagerwire.Encode(frame{
 		Topic:   m.Metadata.Get(TopicKey),
--- a/tanager/tanagerpeer/transport.go
+++ b/tanager/tanagerpeer/transport.go
@@ -158,17 +158,31 @@
 	if !ok {
 		return nil, UnknownPeer.New("peer %s", to)
 	}
+	ctx, abandon := context.WithCancel(t.ctx)
 	l := &link{
 		transport: t,
 		to:        to,
 		address:   address,
 		queue:     make(chan *message.Message, t.settings.QueueLength),
+		ctx:       ctx,
+		abandon:   abandon,
 	}
 	t.links[to] = l
 	go l.run()
 	return l, nil
 }
 
+// Reset closes the connection to a peer, so that the next message opens a new
+// one. It is for connections that have gone silent without an error.
+func (t *Transport) Reset(to string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if l := t.links[to]; l != nil {
+		delete(t.links, to)
+		l.abandon()
+	}
+}
+
 // drop removes a link so that the next message opens a new one.
 func (t *Transport) drop(l *link) {
 	t.mu.Lock()
--- /dev/null
+++ b/tanager/tanagerport/failure.go
@@ -0,0 +1,16 @@
+package tanagerport
+
+import "github.com/joomcode/errorx"
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("tanagerport")
+
+// The types of error that calls return.
+var (
+	Refused    = Errors.NewType("refused", errorx.Temporary())
+	Unanswered = Errors.NewType("unanswered", errorx.Timeout())
+	Conflict   = Errors.NewType("conflict")
+	NotFound   = Errors.NewType("not_found", errorx.NotFound())
+	Compacted  = Errors.NewType("compacted")
+	Malformed  = Errors.NewType("malformed")
+)
--- /dev/null
+++ b/tanager/tanagerwork/job.go
@@ -0,0 +1,239 @@
+package tanagerwork
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("tanagerwork")
+
+// Invalid is the type of error that Check and the parsers return.
+var Invalid = Errors.NewType("invalid")
+
+// Bounds of a job that is accepted.
+const (
+	// maxPayloadBytes is the longest payload of the published interface.
+	maxPayloadBytes = 4000
+	// maxSteps and maxTasks bound the memory that one job takes.
+	maxSteps = 64
+	maxTasks = 5000
+)
+
+// JobID is the caller's name for a job, 16 hexadecimal digits.
+type JobID string
+
+// idDigits is the length of a JobID.
+const idDigits = 16
+
+// ParseJobID checks a job's id. It returns an error of type Invalid.
+func ParseJobID(text string) (JobID, error) {
+	if len(text) != idDigits || strings.Trim(text, "0123456789abcdefABCDEF") != "" {
+		return "", Invalid.New("job id %.40q is not 16 hexadecimal digits", text)
+	}
+	return JobID(text), nil
+}
+
+// Resources are what a task needs or a worker has.
+type Resources struct {
+	MilliCPU int64 `json:"milli_cpu"`
+	MemoryMB int64 `json:"memory_mb"`
+	GPUs     int64 `json:"gpus"`
+}
+
+// Add returns r + o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		MilliCPU: r.MilliCPU + o.MilliCPU,
+		MemoryMB: r.MemoryMB + o.MemoryMB,
+		GPUs:     r.GPUs + o.GPUs,
+	}
+}
+
+// Sub returns r - o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		MilliCPU: r.MilliCPU - o.MilliCPU,
+		MemoryMB: r.MemoryMB - o.MemoryMB,
+		GPUs:     r.GPUs - o.GPUs,
+	}
+}
+
+// Within reports whether r is at most o in each dimension.
+func (r Resources) Within(o Resources) bool {
+	return r.MilliCPU <= o.MilliCPU && r.MemoryMB <= o.MemoryMB && r.GPUs <= o.GPUs
+}
+
+// Copies returns how many times r fits into o, at most limit.
+func (r Resources) Copies(o Resources, limit int) int {
+	n := limit
+	for _, d := range [][2]int64{{r.MilliCPU, o.MilliCPU}, {r.MemoryMB, o.MemoryMB}, {r.GPUs, o.GPUs}} {
+		if d[0] > 0 {
+			n = min(n, int(max(d[1], 0)/d[0]))
+		}
+	}
+	return n
+}
+
+// Step is a set of equal tasks.
+type Step struct {
+	Count int       `json:"count"`
+	Need  Resources `json:"need"`
+	// Estimate is the caller's guess of a task's duration.
+	Estimate time.Duration `json:"estimate"`
+	// After are the indexes of earlier steps that must be done first.
+	After []int `json:"after,omitempty"`
+	// Checkpoints tells that tasks save their progress and can resume from it.
+	Checkpoints bool `json:"checkpoints,omitempty"`
+	// Gang tasks work only while all of them run. SameRack gangs are slower
+	// when they span racks.
+	Gang     bool `json:"gang,omitempty"`
+	SameRack bool `json:"same_rack,omitempty"`
+	// Label is one that a worker must have; empty for any worker.
+	Label string `json:"label,omitempty"`
+	// DataRack is the rack near the data; empty for none.
+	DataRack string `json:"data_rack,omitempty"`
+	// SpreadLimit bounds the tasks on one worker; 0 for no bound.
+	SpreadLimit int `json:"spread_limit,omitempty"`
+	// Speculative steps allow several runs of a task at once.
+	Speculative bool `json:"speculative,omitempty"`
+	// Lasting tasks run until the job is cancelled. At most DisruptionBudget of
+	// them may be away at once by an act of the scheduler.
+	Lasting          bool `json:"lasting,omitempty"`
+	DisruptionBudget int  `json:"disruption_budget,omitempty"`
+	// Image names what the tasks run; equal images behave alike.
+	Image string `json:"image,omitempty"`
+	// TailTarget bounds the tail of the response times of a task that serves.
+	TailTarget time.Duration `json:"tail_target,omitempty"`
+	// Fills tells that the tasks take only processor time that others leave.
+	Fills bool `json:"fills,omitempty"`
+}
+
+// Held returns the room that one task takes on a worker.
+func (s *Step) Held() Resources {
+	if !s.Fills {
+		return s.Need
+	}
+	return Resources{
+		MemoryMB: s.Need.MemoryMB,
+		GPUs:     s.Need.GPUs,
+	}
+}
+
+// Spec is what the caller hands in.
+type Spec struct {
+	Payload string `json:"payload"`
+	Steps   []Step `json:"steps"`
+	// Times is the number of occurrences of a timed job, 0 for a job that runs
+	// once, at once. Occurrence k is due at FirstDue + k * Interval.
+	Times    int           `json:"times,omitempty"`
+	FirstDue time.Time     `json:"first_due,omitzero"`
+	Interval time.Duration `json:"interval,omitempty"`
+}
+
+// Occurrences returns how often the steps run, at least once.
+func (s *Spec) Occurrences() int { return max(s.Times, 1) }
+
+// Chain returns the length of the longest chain of steps by their estimates.
+func (s *Spec) Chain() time.Duration {
+	ends := make([]time.Duration, len(s.Steps))
+	var longest time.Duration
+	for i := range s.Steps {
+		for _, a := range s.Steps[i].After {
+			ends[i] = max(ends[i], ends[a])
+		}
+		ends[i] += s.Steps[i].Estimate
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// Check reports what is wrong with a job as an error of type Invalid.
+func (s *Spec) Check() error {
+	if len(s.Payload) > maxPayloadBytes {
+		return Invalid.New("payload has %d bytes, at most %d are allowed", len(s.Payload), maxPayloadBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
+		return Invalid.New("job has %d steps, 1 to %d are allowed", len(s.Steps), maxSteps)
+	}
+	if s.Times < 0 || s.Times > 0 && s.Interval < 0 {
+		return Invalid.New("times and interval must not be negative")
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
+			return err
+		}
+		tasks += s.Steps[i].Count
+	}
+	if tasks > maxTasks {
+		return Invalid.New("job has %d tasks, at most %d are allowed", tasks, maxTasks)
+	}
+	return nil
+}
+
+func (s *Step) check(index int) error {
+	if s.Count < 1 {
+		return Invalid.New("step %d has %d tasks, at least 1 is required", index, s.Count)
+	}
+	if s.Need.MilliCPU < 0 || s.Need.MemoryMB < 0 || s.Need.GPUs < 0 || s.SpreadLimit < 0 {
+		return Invalid.New("step %d has a negative need", index)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= index {
+			return Invalid.New("step %d depends on step %d, which is not an earlier step", index, a)
+		}
+	}
+	return nil
+}
+
+// StepName names a step of one occurrence of a job.
+type StepName struct {
+	Job        JobID `json:"job"`
+	Occurrence int   `json:"occurrence"`
+	Step       int   `json:"step"`
+}
+
+// String returns the dotted form that workers and the advice service use.
+func (s StepName) String() string {
+	return string(s.Job) + "." + strconv.Itoa(s.Occurrence) + "." + strconv.Itoa(s.Step)
+}
+
+// TaskName names a task.
+type TaskName struct {
+	StepName
+	Index int `json:"index"`
+}
+
+// String returns the dotted form that workers use.
+func (t TaskName) String() string { return t.StepName.String() + "." + strconv.Itoa(t.Index) }
+
+// ParseTaskName parses the form that String returns. It returns an error of type
+// Invalid.
+func ParseTaskName(text string) (TaskName, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return TaskName{}, Invalid.New("task name %.80q has not four parts", text)
+	}
+	id, err := ParseJobID(parts[0])
+	if err != nil {
+		return TaskName{}, err
+	}
+	var numbers [3]int
+	for i, p := range parts[1:] {
+		if numbers[i], err = strconv.Atoi(p); err != nil {
+			return TaskName{}, Invalid.Wrap(err, "task name %.80q", text)
+		}
+	}
+	return TaskName{
+		StepName: StepName{
+			Job:        id,
+			Occurrence: numbers[0],
+			Step:       numbers[1],
+		},
+		Index: numbers[2],
+	}, nil
+}
--- a/tanagerd/main.go
+++ b/tanagerd/main.go
@@ -5,6 +5,8 @@
 //
 //	tanagerd run --settings tanagerd.yaml
 //	tanagerd check-settings tanagerd.yaml
+//	tanagerd cell --settings member.yaml
+//	tanagerd check-cell-settings member.yaml
 //
 // SIGTERM stops the daemon: it says that it is not ready, hands its shards over,
 // answers every request in flight and ends. SIGINT does the same.
@@ -16,6 +18,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"tanagersail.example/tanagerd/tanagerboot"
 	"tanagersail.example/tanagerd/tanagersettings"
 )
 
@@ -24,6 +27,10 @@
 	app.HelpFlag.Short('h')
 	run := app.Command("run", "Run the daemon until SIGTERM.").Default()
 	path := run.Flag("settings", "Settings file.").Required().ExistingFile()
+	cell := app.Command("cell", "Run a member of a cell that schedules jobs, until SIGTERM.")
+	member := cell.Flag("settings", "Settings file of the member.").Required().ExistingFile()
+	checkCell := app.Command("check-cell-settings", "Check a member's settings file and say what is wrong in it.")
+	checkedCell := checkCell.Arg("file", "Settings file.").Required().String()
 	check := app.Command("check-settings", "Check a settings file and say what is wrong in it.")
 	checked := check.Arg("file", "Settings file.").Required().String()
 	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
@@ -31,6 +38,12 @@
 		settings, err := tanagersettings.Load(*path)
 		exitOn(err)
 		exitOn(serve(settings))
+	case cell.FullCommand():
+		exitOn(tanagerboot.Serve(*member))
+	case checkCell.FullCommand():
+		_, err := tanagersettings.LoadMember(*checkedCell)
+		exitOn(err)
+		fmt.Println("the settings are valid")
 	case check.FullCommand():
 		_, err := tanagersettings.Load(*checked)
 		exitOn(err)
--- /dev/null
+++ b/tanagerd/tanagercell/control.go
@@ -0,0 +1,459 @@
+package tanagercell
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+	"github.com/joomcode/errorx"
+	"github.com/rs/zerolog"
+
+	"tanagersail.example/tanager/tanagerdispatch"
+	"tanagersail.example/tanager/tanagerpeer"
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagertimer"
+	"tanagersail.example/tanager/tanagerwire"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// event is a change that the control goroutine applies to its state.
+type event interface {
+	apply(c *control)
+}
+
+// Metrics receives what happens.
+type Metrics interface {
+	OrderAnswered(ctx context.Context, order string, took time.Duration)
+	CallerAnswered(ctx context.Context, call, reply string, took time.Duration)
+}
+
+// control is the state of a daemon. Only the control goroutine touches it, but
+// for post, view and the constant fields.
+type control struct {
+	settings  Settings
+	ports     Ports
+	timer     tanagertimer.Service
+	log       zerolog.Logger
+	metrics   Metrics
+	transport *tanagerpeer.Transport
+	member    string
+	candidate *candidate
+	random    *rand.Rand
+	ctx       context.Context
+	events    chan event
+	view      atomic.Pointer[view]
+
+	lead          lead
+	configuration *tanagerport.Configuration
+	fleet         map[string]tanagerport.WorkerEntry
+
+	// cell is nil unless this daemon is the scheduler. term tells the cells of
+	// one process apart; loading is set between election and the first tables.
+	cell      *tanagerdispatch.Cell
+	term      uint64
+	loading   bool
+	waiting   []event
+	recorder  *recorder
+	ticked    time.Time
+	lastHints time.Time
+	// members are the daemons heard of by the scheduler.
+	members     map[string]time.Time
+	lastRemoval time.Time
+
+	standAt   time.Time
+	standing  bool
+	renewedAt time.Time
+	lastRenew time.Time
+	helloAt   time.Time
+	hintsAt   time.Time
+	hints     map[string]tanagerdispatch.Hint
+	storeUp   bool
+	stopping  bool
+	questions map[uint64]chan stateTold
+	asked     uint64
+}
+
+// view is what callers' goroutines see of the control state.
+type view struct {
+	configuration *tanagerport.Configuration
+	scheduler     string
+	epoch         uint64
+	epochRevision int64
+	hints         map[string]tanagerdispatch.Hint
+	hintsAt       time.Time
+	storeUp       bool
+	stopping      bool
+}
+
+func (c *control) publishView() {
+	c.view.Store(&view{
+		configuration: c.configuration,
+		scheduler:     c.lead.holder.Member,
+		epoch:         c.lead.epoch,
+		epochRevision: c.lead.epochRevision,
+		hints:         c.hints,
+		hintsAt:       c.hintsAt,
+		storeUp:       c.storeUp,
+		stopping:      c.stopping,
+	})
+}
+
+// post hands an event to the control goroutine.
+func (c *control) post(e event) {
+	select {
+	case c.events <- e:
+	case <-c.ctx.Done():
+	}
+}
+
+func (c *control) run(inbox <-chan *message.Message) {
+	ticks := c.timer.Every(tickInterval)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case e := <-c.events:
+			e.apply(c)
+			c.drain(inbox)
+		case m := <-inbox:
+			c.receive(m)
+			c.drain(inbox)
+		case <-ticks.C:
+		}
+		c.step(c.timer.Now())
+	}
+}
+
+// drain applies what has gathered, so that it shares one step.
+func (c *control) drain(inbox <-chan *message.Message) {
+	for range eventQueue {
+		select {
+		case e := <-c.events:
+			e.apply(c)
+		case m := <-inbox:
+			c.receive(m)
+		default:
+			return
+		}
+	}
+}
+
+// step does what is due.
+func (c *control) step(now time.Time) {
+	c.follow(now)
+	if c.cell != nil && !c.loading {
+		c.schedule(now)
+	}
+	c.publishView()
+}
+
+func (c *control) schedule(now time.Time) {
+	if now.Sub(c.ticked) >= tickGap {
+		c.ticked = now
+		c.cell.Tick(now)
+	}
+	c.execute(c.cell.TakeOrders())
+	if c.cell.Deposed() {
+		c.depose("a worker has seen a higher epoch")
+		return
+	}
+	c.storeRoster()
+	c.flush(now)
+	c.removeExpired(c.ctx, now)
+	c.tellHints(now)
+}
+
+// follow does what each daemon does: say hello, renew or stand for election.
+func (c *control) follow(now time.Time) {
+	if c.leading() {
+		c.renew(now)
+	} else {
+		c.considerStanding(now)
+	}
+	if now.Sub(c.helloAt) >= helloInterval && c.lead.holder.Member != "" {
+		c.helloAt = now
+		deaf := now.Sub(c.hintsAt) > memberTimeout
+		if deaf {
+			c.transport.Reset(c.lead.holder.Member)
+		}
+		c.send(c.lead.holder.Member, topicHello, hello{Deaf: deaf})
+	}
+}
+
+// leading reports whether the store names this daemon as the scheduler.
+func (c *control) leading() bool { return c.lead.holder.Member == c.member }
+
+func (c *control) renew(now time.Time) {
+	if now.Sub(c.lastRenew) < c.settings.LeaderTTL/renewals {
+		return
+	}
+	c.lastRenew = now
+	lease := c.lead.holder.Lease
+	go func() {
+		ended, err := c.candidate.renew(c.ctx, lease)
+		c.post(renewed{
+			lease: lease,
+			ended: ended,
+			err:   err,
+		})
+	}()
+}
+
+type renewed struct {
+	lease int64
+	ended bool
+	err   error
+}
+
+func (e renewed) apply(c *control) {
+	if e.lease != c.lead.holder.Lease || !c.leading() {
+		return
+	}
+	if e.ended {
+		c.log.Warn().Str("event", "leadership_lapsed").Uint64("epoch", c.lead.epoch).Send()
+		c.lead.vacate()
+		c.standAt = c.timer.Now()
+	}
+}
+
+// considerStanding stands for election once nobody holds the key for a time.
+func (c *control) considerStanding(now time.Time) {
+	if !c.lead.known || c.stopping || c.standing || c.lead.holder.Member != "" {
+		return
+	}
+	if c.standAt.IsZero() {
+		c.standAt = now.Add(standDelay(c.settings.Weight, c.random))
+		if c.cell == nil && now.Sub(c.hintsAt) < memberTimeout {
+			c.standAt = c.standAt.Add(incumbentHeadStart)
+		}
+	}
+	if now.Before(c.standAt) {
+		return
+	}
+	c.stand("nobody leads")
+}
+
+func (c *control) stand(reason string) {
+	c.standing = true
+	c.standAt = time.Time{}
+	present := c.lead
+	c.log.Info().Str("event", "election_stand").Str("reason", reason).Uint64("epoch", present.epoch).Send()
+	go func() {
+		ctx, cancel := context.WithTimeout(c.ctx, candidacyTimeout)
+		defer cancel()
+		won, err := c.candidate.stand(ctx, present)
+		c.post(stood{
+			won: won,
+			err: err,
+		})
+	}()
+}
+
+type stood struct {
+	won elected
+	err error
+}
+
+func (e stood) apply(c *control) {
+	c.standing = false
+	if e.err != nil {
+		c.log.Info().Str("event", "election_lost").Err(e.err).Send()
+		if !errorx.IsOfType(e.err, tanagerport.Conflict) {
+			c.noteStore(e.err)
+		}
+		return
+	}
+	c.lead.holder = e.won.holder
+	c.lead.holderRevision = e.won.holderRevision
+	c.lead.epoch = e.won.holder.Epoch
+	c.lead.epochRevision = e.won.epochRevision
+	c.leadChanged()
+}
+
+// learnLead applies an item of the lead prefix.
+func (c *control) learnLead(item tanagerport.Item) {
+	before := c.lead
+	if err := c.lead.apply(item); err != nil {
+		c.log.Error().Str("event", "lead_unreadable").Str("key", item.Key).Err(err).Send()
+		return
+	}
+	if before != c.lead {
+		c.leadChanged()
+	}
+}
+
+// leadChanged begins or ends this daemon's own term.
+func (c *control) leadChanged() {
+	c.log.Info().Str("event", "lead_changed").Str("scheduler", c.lead.holder.Member).
+		Uint64("epoch", c.lead.epoch).Int64("revision", c.lead.epochRevision).Send()
+	if c.lead.holder.Member != "" {
+		c.standAt = time.Time{}
+	}
+	switch {
+	case c.cell != nil && c.lead.epoch > c.cell.Epoch() && c.leading() && c.lead.epoch == c.cell.Epoch()+1 && !c.loading:
+		c.cell.Reelected(c.lead.epoch)
+	case c.cell != nil && c.lead.epoch > c.cell.Epoch():
+		c.depose("a higher epoch was stored")
+		if c.leading() {
+			c.takeOver()
+		}
+	case c.cell == nil && c.leading() && c.lead.holder.Epoch == c.lead.epoch:
+		c.takeOver()
+	}
+}
+
+func (c *control) depose(reason string) {
+	c.log.Warn().Str("event", "scheduler_stop").Str("reason", reason).Uint64("epoch", c.lead.epoch).Send()
+	c.cell = nil
+	c.loading = false
+	c.waiting = nil
+	if c.leading() {
+		c.lead.vacate()
+	}
+}
+
+// noteStore remembers that the store did not serve a call.
+func (c *control) noteStore(err error) {
+	if errorx.IsOfType(err, tanagerport.Conflict) {
+		return
+	}
+	storeReached{ok: false}.apply(c)
+}
+
+type storeReached struct{ ok bool }
+
+func (e storeReached) apply(c *control) {
+	if e.ok == c.storeUp {
+		return
+	}
+	c.storeUp = e.ok
+	c.log.Info().Str("event", "store_reached").Bool("up", e.ok).Send()
+}
+
+type leadRead struct {
+	page  tanagerport.Page
+	whole bool
+}
+
+func (e leadRead) apply(c *control) {
+	first := !c.lead.known
+	c.lead.known = true
+	held := false
+	for _, i := range e.page.Items {
+		held = held || i.Key == holderKey
+		c.learnLead(i)
+	}
+	gone := e.whole && !held
+	for _, key := range e.page.Deleted {
+		gone = gone || key == holderKey
+	}
+	if gone && c.lead.holder.Member != "" && c.lead.holderRevision < e.page.Revision {
+		c.log.Info().Str("event", "lead_vacant").Str("was", c.lead.holder.Member).Send()
+		c.lead.vacate()
+	}
+	if first && c.lead.holder.Member == "" {
+		c.standAt = time.Time{}
+	}
+}
+
+type operatorRead struct{ page tanagerport.Page }
+
+func (e operatorRead) apply(c *control) {
+	for _, i := range e.page.Items {
+		configuration, ok, err := c.ports.Decoder.Configuration(i)
+		if err != nil {
+			c.log.Error().Str("event", "configuration_unreadable").Str("key", i.Key).Err(err).Send()
+			continue
+		}
+		if !ok || c.configuration != nil && configuration.Version <= c.configuration.Version {
+			continue
+		}
+		c.configuration = &configuration
+		c.log.Info().Str("event", "configuration_applied").Int64("version", configuration.Version).Int64("revision", i.Revision).Send()
+		if c.cell != nil {
+			c.cell.Configure(configuration)
+		}
+	}
+}
+
+type fleetRead struct {
+	page  tanagerport.Page
+	whole bool
+}
+
+func (e fleetRead) apply(c *control) {
+	prefix := c.ports.Decoder.WorkerPrefix()
+	if e.whole {
+		c.fleet = make(map[string]tanagerport.WorkerEntry, len(e.page.Items))
+	}
+	for _, i := range e.page.Items {
+		entry, err := c.ports.Decoder.Worker(i)
+		if err != nil {
+			c.log.Warn().Str("event", "worker_entry_ignored").Str("key", i.Key).Err(err).Send()
+			delete(c.fleet, i.Key[len(prefix):])
+			continue
+		}
+		c.fleet[entry.ID] = entry
+	}
+	for _, key := range e.page.Deleted {
+		delete(c.fleet, key[len(prefix):])
+	}
+	if c.cell != nil {
+		c.cell.SetWorkers(c.timer.Now(), c.fleetList())
+	}
+}
+
+func (c *control) fleetList() []tanagerport.WorkerEntry {
+	list := make([]tanagerport.WorkerEntry, 0, len(c.fleet))
+	for _, e := range c.fleet {
+		list = append(list, e)
+	}
+	return list
+}
+
+// send queues a message for a daemon and reports whether that was possible.
+func (c *control) send(to, topic string, payload any) bool {
+	m := message.NewMessage("", tanagerwire.Encode(payload))
+	m.Metadata.Set(tanagerpeer.ToKey, to)
+	if err := c.transport.Publish(topic, m); err != nil {
+		c.log.Debug().Str("event", "message_unsent").Str("topic", topic).Str("to", to).Err(err).Send()
+		return false
+	}
+	return true
+}
+
+// tellHints sends each daemon the hints, and forgets daemons that are silent.
+func (c *control) tellHints(now time.Time) {
+	if now.Sub(c.lastHints) < helloInterval {
+		return
+	}
+	c.lastHints = now
+	hints, _ := c.cell.Hints()
+	told := hintsTold{
+		Epoch: c.cell.Epoch(),
+		Hints: hints,
+	}
+	advisers := make([]string, 0, len(c.members))
+	for name, heard := range c.members {
+		if now.Sub(heard) > memberTimeout {
+			delete(c.members, name)
+			c.log.Info().Str("event", "daemon_silent").Str("daemon", name).Dur("age_ms", now.Sub(heard)).Send()
+			continue
+		}
+		advisers = append(advisers, name)
+		c.send(name, topicHints, told)
+	}
+	c.cell.SetAdvisers(advisers)
+}
+
+// stateOf answers a question for the state of a job.
+func (c *control) stateOf(id tanagerwork.JobID, question uint64) stateTold {
+	told := stateTold{Question: question}
+	if c.cell != nil && !c.loading {
+		told.State, told.Known = c.cell.State(id)
+	}
+	return told
+}
--- /dev/null
+++ b/tanagerd/tanagercell/execute.go
@@ -0,0 +1,119 @@
+package tanagercell
+
+import (
+	"time"
+
+	"tanagersail.example/tanager/tanagerdispatch"
+	"tanagersail.example/tanager/tanagerport"
+)
+
+// execute carries out orders, each on a goroutine of its own; the answers come
+// back as events of the same term.
+func (c *control) execute(orders tanagerdispatch.Orders) {
+	for _, o := range orders.Starts {
+		go func() {
+			sent := c.timer.Now()
+			answer, err := c.ports.Workers.Start(c.ctx, o.Worker, o.Start)
+			c.metrics.OrderAnswered(c.ctx, "start", c.timer.Now().Sub(sent))
+			c.post(startAnswered{
+				order:  o,
+				answer: answer,
+				err:    err,
+			})
+		}()
+	}
+	for _, o := range orders.Stops {
+		go func() {
+			answer, err := c.ports.Workers.Stop(c.ctx, o.Worker, o.Stop)
+			c.post(stopAnswered{
+				order:  o,
+				answer: answer,
+				err:    err,
+			})
+		}()
+	}
+	for _, o := range orders.Polls {
+		go func() {
+			sent := c.timer.Now()
+			report, err := c.ports.Workers.Poll(c.ctx, o.Worker, o.Poll)
+			c.post(pollAnswered{
+				order:  o,
+				sent:   sent,
+				report: report,
+				err:    err,
+			})
+		}()
+	}
+	for _, o := range orders.Paces {
+		go func() {
+			if _, err := c.ports.Workers.Pace(c.ctx, o.Worker, o.Pace); err != nil {
+				c.log.Warn().Str("event", "pace_unanswered").Str("task", o.Pace.Task.String()).Err(err).Send()
+			}
+		}()
+	}
+	for _, o := range orders.Advice {
+		if !c.send(o.Adviser, topicAdviceAsked, adviceAsked{Order: o}) {
+			c.cell.AdviceAnswered(c.timer.Now(), o, c.timer.Now(), tanagerport.Advice{}, tanagerport.Refused.New("adviser %s", o.Adviser))
+		}
+	}
+	for _, n := range orders.Notes {
+		c.logNote(n)
+	}
+}
+
+type startAnswered struct {
+	order  tanagerdispatch.StartOrder
+	answer tanagerport.Answer
+	err    error
+}
+
+func (e startAnswered) apply(c *control) {
+	if c.cell != nil {
+		c.cell.StartAnswered(c.timer.Now(), e.order, e.answer, e.err)
+	}
+}
+
+type stopAnswered struct {
+	order  tanagerdispatch.StopOrder
+	answer tanagerport.Answer
+	err    error
+}
+
+func (e stopAnswered) apply(c *control) {
+	if c.cell != nil {
+		c.cell.StopAnswered(c.timer.Now(), e.order, e.answer, e.err)
+	}
+}
+
+type pollAnswered struct {
+	order  tanagerdispatch.PollOrder
+	sent   time.Time
+	report tanagerport.Report
+	err    error
+}
+
+func (e pollAnswered) apply(c *control) {
+	if c.cell != nil {
+		c.cell.PollAnswered(c.timer.Now(), e.order, e.sent, e.report, e.err)
+	}
+}
+
+func (c *control) logNote(n tanagerdispatch.Note) {
+	line := c.log.Info().Str("event", n.Event)
+	if n.Job != "" {
+		line = line.Str("job", string(n.Job))
+	}
+	if n.Queue != "" {
+		line = line.Str("queue", n.Queue)
+	}
+	if n.Task.Job != "" {
+		line = line.Int("occurrence", n.Task.Occurrence).Int("step", n.Task.Step).Int("task", n.Task.Index).Int64("run", n.Run)
+	}
+	if n.Worker != "" {
+		line = line.Str("worker", n.Worker)
+	}
+	if n.Reason != "" {
+		line = line.Str("reason", n.Reason)
+	}
+	line.Dur("age_ms", n.Age).Uint64("epoch", c.lead.epoch).Send()
+}
--- /dev/null
+++ b/tanagerd/tanagercell/message.go
@@ -0,0 +1,86 @@
+package tanagercell
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"tanagersail.example/tanager/tanagerdispatch"
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// The topics of messages between daemons.
+const (
+	topicHello        = "cell.hello"
+	topicHints        = "cell.hints"
+	topicJob          = "cell.job"
+	topicCancel       = "cell.cancel"
+	topicStateAsked   = "cell.state.asked"
+	topicStateTold    = "cell.state.told"
+	topicAdviceAsked  = "cell.advice.asked"
+	topicAdviceTold   = "cell.advice.told"
+	memberSeparator   = "/"
+	memberSuffixBytes = 8
+)
+
+// hello tells the scheduler that a daemon is there.
+type hello struct {
+	// Deaf tells that no hints have come for some time: the scheduler's own
+	// connection to the daemon has to be opened anew.
+	Deaf bool `json:"deaf"`
+}
+
+// hintsTold is the scheduler's word on each queue.
+type hintsTold struct {
+	Epoch uint64                          `json:"epoch"`
+	Hints map[string]tanagerdispatch.Hint `json:"hints"`
+}
+
+// jobStored tells the scheduler of a job that is in the store.
+type jobStored struct {
+	Record tanagerwork.Record `json:"record"`
+}
+
+type cancelStored struct {
+	ID tanagerwork.JobID `json:"id"`
+}
+
+type stateAsked struct {
+	Question uint64            `json:"question"`
+	ID       tanagerwork.JobID `json:"id"`
+}
+
+type stateTold struct {
+	Question uint64            `json:"question"`
+	Known    bool              `json:"known"`
+	State    tanagerwork.State `json:"state"`
+}
+
+type adviceAsked struct {
+	Order tanagerdispatch.AdviceOrder `json:"order"`
+}
+
+type adviceTold struct {
+	Order  tanagerdispatch.AdviceOrder `json:"order"`
+	Advice tanagerport.Advice          `json:"advice"`
+	// Took is how long the call lasted.
+	Took   time.Duration `json:"took"`
+	Failed bool          `json:"failed"`
+}
+
+// memberName names a daemon uniquely across restarts, by its address and a
+// suffix that is new with each start.
+func memberName(address netip.AddrPort, suffix string) string {
+	return address.String() + memberSeparator + suffix
+}
+
+// Directory finds a daemon by its member name, which holds its address.
+type Directory struct{}
+
+// Address implements tanagerpeer.Directory.
+func (Directory) Address(member string) (netip.AddrPort, bool) {
+	text, _, _ := strings.Cut(member, memberSeparator)
+	address, err := netip.ParseAddrPort(text)
+	return address, err == nil
+}
--- /dev/null
+++ b/tanagerd/tanagercell/ports.go
@@ -0,0 +1,51 @@
+package tanagercell
+
+import (
+	"context"
+	"time"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// Store is the key-value service in which everything that must last is kept.
+type Store interface {
+	Get(ctx context.Context, key string) (tanagerport.Item, error)
+	List(ctx context.Context, prefix, after string, stale bool) (tanagerport.Page, error)
+	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (tanagerport.Page, error)
+	Commit(ctx context.Context, t tanagerport.Transaction) (int64, []tanagerport.Item, error)
+	Grant(ctx context.Context, ttl time.Duration) (int64, error)
+	Renew(ctx context.Context, lease int64) error
+	Release(ctx context.Context, lease int64) error
+}
+
+// Workers takes orders to workers.
+type Workers interface {
+	Start(ctx context.Context, to tanagerport.WorkerRef, s tanagerport.Start) (tanagerport.Answer, error)
+	Stop(ctx context.Context, to tanagerport.WorkerRef, s tanagerport.Stop) (tanagerport.Answer, error)
+	Pace(ctx context.Context, to tanagerport.WorkerRef, p tanagerport.Pace) (tanagerport.Answer, error)
+	Poll(ctx context.Context, to tanagerport.WorkerRef, p tanagerport.Poll) (tanagerport.Report, error)
+}
+
+// Advisor tells which workers may run a step.
+type Advisor interface {
+	Advise(ctx context.Context, step tanagerwork.StepName, workers []string, expected time.Duration) (tanagerport.Advice, error)
+}
+
+// Decoder translates what others write into the store.
+type Decoder interface {
+	// WorkerPrefix and OperatorPrefix are the prefixes of their keys.
+	WorkerPrefix() string
+	OperatorPrefix() string
+	Worker(item tanagerport.Item) (tanagerport.WorkerEntry, error)
+	// Configuration reports false for a key that holds something else.
+	Configuration(item tanagerport.Item) (tanagerport.Configuration, bool, error)
+}
+
+// Ports are the outside systems that a daemon speaks to.
+type Ports struct {
+	Store   Store
+	Workers Workers
+	Advisor Advisor
+	Decoder Decoder
+}
--- /dev/null
+++ b/tanagerd/tanagercell/receive.go
@@ -0,0 +1,179 @@
+package tanagercell
+
+import (
+	"context"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	"tanagersail.example/tanager/tanagerpeer"
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwire"
+)
+
+// receive applies a message of a daemon. One that cannot be read is logged and
+// dropped: its sender repeats what matters or has stored it.
+func (c *control) receive(m *message.Message) {
+	from := m.Metadata.Get(tanagerpeer.FromKey)
+	if m.Metadata.Get(tanagerpeer.UnsentKey) != "" {
+		return
+	}
+	topic := m.Metadata.Get(tanagerpeer.TopicKey)
+	var err error
+	switch topic {
+	case tanagerpeer.LostTopic:
+		c.log.Debug().Str("event", "link_lost").Str("daemon", from).Send()
+	case topicHello:
+		err = handle(m, func(h hello) { c.heard(from, h) })
+	case topicHints:
+		err = handle(m, func(h hintsTold) { c.hintsReceived(h) })
+	case topicJob:
+		err = handle(m, func(j jobStored) { jobKnown{record: j.Record}.apply(c) })
+	case topicCancel:
+		err = handle(m, func(k cancelStored) { cancelKnown{id: k.ID}.apply(c) })
+	case topicStateAsked:
+		err = handle(m, func(q stateAsked) { c.send(from, topicStateTold, c.stateOf(q.ID, q.Question)) })
+	case topicStateTold:
+		err = handle(m, func(t stateTold) { c.answerQuestion(t) })
+	case topicAdviceAsked:
+		err = handle(m, func(a adviceAsked) { c.advise(from, a) })
+	case topicAdviceTold:
+		err = handle(m, func(t adviceTold) { c.advised(t) })
+	}
+	if err != nil {
+		c.log.Error().Str("event", "message_unreadable").Str("topic", topic).Str("from", from).Err(err).Send()
+	}
+}
+
+func handle[T any](m *message.Message, f func(T)) error {
+	var payload T
+	if err := tanagerwire.Decode(m.Payload, &payload); err != nil {
+		return err
+	}
+	f(payload)
+	return nil
+}
+
+func (c *control) heard(from string, h hello) {
+	if c.cell == nil {
+		return
+	}
+	if _, known := c.members[from]; !known {
+		c.log.Info().Str("event", "daemon_heard").Str("daemon", from).Send()
+		c.lastHints = time.Time{}
+	} else if h.Deaf {
+		c.transport.Reset(from)
+	}
+	c.members[from] = c.timer.Now()
+}
+
+func (c *control) hintsReceived(h hintsTold) {
+	if h.Epoch < c.lead.epoch {
+		return
+	}
+	c.hints = h.Hints
+	c.hintsAt = c.timer.Now()
+}
+
+// advise calls the advice service for the scheduler.
+func (c *control) advise(from string, a adviceAsked) {
+	go func() {
+		began := c.timer.Now()
+		advice, err := c.ports.Advisor.Advise(c.ctx, a.Order.Step, a.Order.Workers, a.Order.Expected)
+		if err != nil {
+			c.log.Warn().Str("event", "advice_failed").Str("step", a.Order.Step.String()).Err(err).Send()
+		}
+		c.post(adviceReady{
+			to: from,
+			told: adviceTold{
+				Order:  a.Order,
+				Advice: advice,
+				Took:   c.timer.Now().Sub(began),
+				Failed: err != nil,
+			},
+		})
+	}()
+}
+
+type adviceReady struct {
+	to   string
+	told adviceTold
+}
+
+func (e adviceReady) apply(c *control) { c.send(e.to, topicAdviceTold, e.told) }
+
+func (c *control) advised(t adviceTold) {
+	if c.cell == nil {
+		return
+	}
+	var err error
+	if t.Failed {
+		err = tanagerport.Unanswered.New("advice by %s", t.Order.Adviser)
+	}
+	now := c.timer.Now()
+	c.cell.AdviceAnswered(now, t.Order, now.Add(-t.Took), t.Advice, err)
+}
+
+// question asks the scheduler for the state of a job.
+type question struct {
+	asked stateAsked
+	reply chan stateTold
+}
+
+func (e question) apply(c *control) {
+	c.asked++
+	e.asked.Question = c.asked
+	if c.lead.holder.Member == "" || !c.send(c.lead.holder.Member, topicStateAsked, e.asked) {
+		e.reply <- stateTold{}
+		return
+	}
+	c.questions[c.asked] = e.reply
+	// A question whose answer got lost is forgotten after some later ones.
+	delete(c.questions, c.asked-oldQuestion)
+}
+
+// oldQuestion is how many later questions make an unanswered one forgotten.
+const oldQuestion = 4096
+
+func (c *control) answerQuestion(t stateTold) {
+	if reply, waits := c.questions[t.Question]; waits {
+		delete(c.questions, t.Question)
+		reply <- t
+	}
+}
+
+// tell is a message to the scheduler from a caller's goroutine.
+type tell struct {
+	topic   string
+	payload any
+}
+
+func (e tell) apply(c *control) {
+	if c.lead.holder.Member != "" {
+		c.send(c.lead.holder.Member, e.topic, e.payload)
+	}
+}
+
+// resign hands the scheduler's work over before a planned stop.
+type resign struct{ done chan struct{} }
+
+func (e resign) apply(c *control) {
+	c.stopping = true
+	if !c.leading() {
+		close(e.done)
+		return
+	}
+	lease := c.lead.holder.Lease
+	c.log.Info().Str("event", "scheduler_resign").Uint64("epoch", c.lead.epoch).Send()
+	if c.cell != nil {
+		c.depose("planned stop")
+	}
+	go func() {
+		defer close(e.done)
+		ctx, cancel := context.WithTimeout(c.ctx, candidacyTimeout)
+		defer cancel()
+		if err := c.ports.Store.Release(ctx, lease); err != nil {
+			c.log.Warn().Str("event", "resign_unanswered").Err(err).Send()
+		}
+	}()
+}
