Close queues by expected wait; count strays; reserve before asking again

Cause: with 80% base load any burst made every job late: all were accepted and the newest and the oldest shared the room. Ends of failed runs came again, in any order, after a change of scheduler, and were counted twice or not at all (LOST, BUDGET). Runs that could not be adopted took room that was not counted (LIMIT). The scheduler's processor time went into reservations and console log lines.

Change: hints close a queue when its expected wait passes a share of its slack; failed runs are kept by number; strays count as room; the roster leaves silent workers out; one write of a job at a time; key=value lines without a second decoding; a tick every 15 ms at most.

--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -90,38 +90,23 @@
 	if s.advice.permits(c.now, s.job.queue) && len(s.advice.tickets) > 0 {
 		return false
 	}
-	return c.worthAsking(s)
+	return s.spec.Gang || c.worthAsking(s)
 }
 
-// worthAsking keeps the advice service from being asked for steps that find no
-// room while the tickets are valid.
+// worthAsking keeps the advice service from being asked for tasks that find no
+// room.
 func (c *Cell) worthAsking(s *step) bool {
 	known := len(s.advice.good) > 0
-	need := 1
-	if s.spec.Gang {
-		need = len(s.tasks)
-	}
-	total := 0.0
+	held := s.spec.Held()
 	for _, w := range c.workers {
-		if !c.inUse(w) || w.entry.Service != s.job.queue.config.Service || known && !s.advice.good[w.id] || c.reserved(w, s) {
+		if !held.Within(w.free) || !c.inUse(w) || w.entry.Service != s.job.queue.config.Service {
 			continue
 		}
-		n := float64(c.copies(s, w))
-		if !known {
-			n *= s.job.queue.goodShare
+		if (!known || s.advice.good[w.id]) && c.spreadLeft(s, w) > 0 && !c.reserved(w, s) {
+			return true
 		}
-		total += n
-	}
-	return total >= float64(need)*askAhead(known)
-}
-
-// askAhead is the share of the needed room that must be free before a call: all
-// of it once the workers are known, half before, since room appears meanwhile.
-func askAhead(known bool) float64 {
-	if known {
-		return 1
 	}
-	return 0.5
+	return false
 }
 
 // ask hands steps to free advisers, in order of rank.
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -31,6 +31,11 @@
 	// the time after which their leases have run out.
 	unaccounted map[string]time.Time
 	advisers    map[string]*adviser
+	// inflation is the running average of how much longer than their estimates
+	// tasks take.
+	inflation float64
+	// reservedAt is when reservations were last made.
+	reservedAt time.Time
 	hints       map[string]Hint
 	hintsAt     time.Time
 	out         Orders
@@ -60,6 +65,7 @@
 		roomVersion: 1,
 		unaccounted: make(map[string]time.Time),
 		advisers:    make(map[string]*adviser),
+		inflation:   1,
 		hints:       make(map[string]Hint),
 	}
 }
@@ -151,6 +157,9 @@
 	// configured is false for a queue that the operator has removed.
 	configured bool
 	jobs       int
+	// slack is the running average of the time that jobs have beyond their
+	// chain of work.
+	slack time.Duration
 	// goodShare is the learned share of workers that may run a step.
 	goodShare float64
 }
@@ -166,6 +175,14 @@
 	return time.Duration(max(q.config.Stretch, 1)*float64(chain)) + q.config.Slack
 }
 
+// learnSlack takes the slack of a new job into the average.
+func (q *queue) learnSlack(slack time.Duration) {
+	if q.slack == 0 {
+		q.slack = slack
+	}
+	q.slack += time.Duration(learnWeight * float64(slack-q.slack))
+}
+
 // adviceReference is the number of workers in a call for advice that the
 // operator's objective allows for, once a step.
 const adviceReference = 30
--- a/tanager/tanagerdispatch/health.go
+++ b/tanager/tanagerdispatch/health.go
@@ -32,6 +32,9 @@
 	// that fails; a job that cannot succeed fails on every worker.
 	failingShare = 0.6
 	failingCount = 2.5
+	// inflationWeight is the weight of one end in the cell's average: hundreds
+	// of ends count, as estimates are wild.
+	inflationWeight = 0.005
 	// most and least bound the learned slowness, against wild estimates.
 	mostSlowness  = 8
 	leastSlowness = 0.7
@@ -82,6 +85,7 @@
 		return
 	}
 	ratio := float64(c.now.Sub(a.started)) / float64(a.step.spec.Estimate)
+	c.inflation += inflationWeight * (min(ratio, mostSlowness) - c.inflation)
 	ratio = min(max(ratio, leastSlowness), mostSlowness)
 	if w.health.slow == 0 {
 		w.health.slow = 1
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -53,6 +53,8 @@
 	gang gangState
 	// tickets
 	advice adviceState
+	// rank is that of the last sorting.
+	rank rank
 	// blockedAt is the version of the fleet's room at which the step did not
 	// fit.
 	blockedAt uint64
@@ -60,7 +62,7 @@
 
 type gangState struct {
 	run      int64
-	failures int
+	failures tanagerwork.FailedRuns
 	saved    string
 	// broken marks the present run as ending: its members are being stopped.
 	broken bool
@@ -69,7 +71,7 @@
 // task is one unit of a step.
 type task struct {
 	done     bool
-	failures int
+	failures tanagerwork.FailedRuns
 	run      int64
 	saved    string
 	attempt  *attempt
@@ -135,6 +137,7 @@
 		inherited: record.Epoch < c.epoch && len(c.unaccounted) > 0,
 	}
 	j.objective = j.queue.objective(&record.Spec)
+	j.queue.learnSlack(j.objective - record.Spec.Chain())
 	c.jobs[record.ID] = j
 	j.queue.jobs++
 	if progress != nil && progress.State.Final() {
@@ -330,6 +333,10 @@
 		Reason: reason,
 		Age:    c.now.Sub(j.record.Arrived),
 	})
+	if state == tanagerwork.Completed {
+		// What still runs are members of gangs that are ending by themselves.
+		return
+	}
 	for _, s := range j.steps {
 		for i := range s.tasks {
 			if a := s.tasks[i].attempt; a != nil {
@@ -504,19 +511,14 @@
 
 func (c *Cell) applyFailed(s *step, row tanagerport.EndedRow) {
 	s.notBefore = c.now.Add(retryDelay)
-	failures := 0
+	failures := &s.tasks[row.Task.Index].failures
 	if s.spec.Gang {
-		s.gang.failures++
-		failures = s.gang.failures
+		failures = &s.gang.failures
 		if row.Run == s.gang.run {
 			c.breakGang(s, "member failed")
 		}
-	} else {
-		t := &s.tasks[row.Task.Index]
-		t.failures++
-		failures = t.failures
 	}
-	if !s.spec.Lasting && failures >= s.job.queue.maxAttempts() {
+	if failures.Add(row.Run) && !s.spec.Lasting && len(*failures) >= s.job.queue.maxAttempts() {
 		c.finish(s.job, tanagerwork.Failed, "a task has used all its attempts")
 	}
 }
@@ -568,7 +570,10 @@
 		if len(out) == limit {
 			return out
 		}
-		if j.version <= max(j.written, j.writing) {
+		if j.writing != 0 {
+			continue
+		}
+		if j.version <= j.written {
 			delete(c.changed, id)
 			continue
 		}
@@ -622,13 +627,13 @@
 		Occurrence: s.name.Occurrence,
 		Step:       s.name.Step,
 		AllDone:    s.left == 0,
-		Failures:   make(map[int]int),
+		Failures:   make(map[int]tanagerwork.FailedRuns),
 		Saved:      make(map[int]string),
 	}
 	if sp.AllDone {
 		return sp, true
 	}
-	if s.gang.failures > 0 {
+	if len(s.gang.failures) > 0 {
 		sp.Failures[0] = s.gang.failures
 	}
 	if s.gang.saved != "" {
@@ -640,7 +645,7 @@
 			sp.Done = append(sp.Done, i)
 			continue
 		}
-		if t.failures > 0 {
+		if len(t.failures) > 0 {
 			sp.Failures[i] = t.failures
 		}
 		if t.saved != "" {
--- /dev/null
+++ b/tanager/tanagerdispatch/load.go
@@ -0,0 +1,66 @@
+package tanagerdispatch
+
+// Load is a summary of a cell, for logs and metrics.
+type Load struct {
+	// Workers are in use; Capacity and Used are their processor time in
+	// thousandths of a core.
+	Workers        int
+	Capacity, Used int64
+	// Steps wait for room, by what starting them can still bring; Gangs are
+	// among them.
+	Lasting, OnTime, Late, Useless, Gangs int
+	// Reserved workers keep room for a gang.
+	Reserved int
+	// Asking steps wait for advice, BusyAdvisers of Advisers are called.
+	Asking, Advisers, BusyAdvisers int
+	// Inherited workers have not been accounted for.
+	Inherited int
+	Open      int
+}
+
+// Load returns the summary as of the last Tick.
+func (c *Cell) Load() Load {
+	l := Load{
+		Advisers:  len(c.advisers),
+		Inherited: len(c.unaccounted),
+		Open:      len(c.open),
+	}
+	for _, w := range c.workers {
+		if c.inUse(w) {
+			l.Workers++
+			l.Capacity += w.entry.Capacity.MilliCPU
+			l.Used += w.entry.Capacity.MilliCPU - w.free.MilliCPU
+		}
+		if w.reservedFor != nil {
+			l.Reserved++
+		}
+	}
+	for _, a := range c.advisers {
+		if a.busy {
+			l.BusyAdvisers++
+		}
+	}
+	for _, s := range c.ready {
+		l.count(c.rank(s).tier, s)
+	}
+	return l
+}
+
+func (l *Load) count(t tier, s *step) {
+	switch t {
+	case lasting:
+		l.Lasting++
+	case onTime:
+		l.OnTime++
+	case late:
+		l.Late++
+	case useless:
+		l.Useless++
+	}
+	if s.spec.Gang {
+		l.Gangs++
+	}
+	if s.advice.asking {
+		l.Asking++
+	}
+}
--- a/tanager/tanagerdispatch/order.go
+++ b/tanager/tanagerdispatch/order.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
 )
 
 // tier groups steps by what starting them now can still bring their callers.
@@ -23,45 +22,58 @@
 
 // rank is a step's place in the order.
 type rank struct {
-	tier  tier
-	slack time.Duration
+	tier tier
+	// urgent steps belong to the queues that come first.
+	urgent bool
+	slack  time.Duration
 }
 
 // rank answers overload: when not all steps can be on time, those that still can
-// go first, by least slack, and those that cannot give way to them.
+// go first, and those that cannot give way to them. Urgent queues come first, as
+// their short tasks take little room for what they bring; then least slack.
 func (c *Cell) rank(s *step) rank {
 	if s.spec.Lasting {
 		return rank{tier: lasting}
 	}
 	left := s.due.Add(s.job.objective).Sub(c.now) - s.chain
-	switch {
-	case left >= 0:
-		return rank{
-			tier:  onTime,
-			slack: left,
-		}
-	case left+(lateFactor-1)*s.job.objective >= 0:
-		return rank{
-			tier:  late,
-			slack: left,
-		}
+	r := rank{
+		tier:   onTime,
+		urgent: s.job.queue.config.Priority == 0,
+		slack:  left,
 	}
-	return rank{
-		tier:  useless,
-		slack: -left,
+	switch {
+	case left+(lateFactor-1)*s.job.objective < 0:
+		r.tier = useless
+	case left < 0:
+		r.tier = late
 	}
+	return r
 }
 
 func (r rank) compare(o rank) int {
-	return cmp.Or(cmp.Compare(r.tier, o.tier), cmp.Compare(r.slack, o.slack))
+	return cmp.Or(cmp.Compare(r.tier, o.tier), -compareBool(r.urgent, o.urgent), cmp.Compare(r.slack, o.slack))
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
 }
 
 // schedule places what waits, in order of rank.
 func (c *Cell) schedule() {
-	c.clearReservations()
+	reserving := c.now.Sub(c.reservedAt) >= reserveInterval
+	if reserving {
+		c.reservedAt = c.now
+		c.clearReservations()
+	}
 	c.sortReady()
 	var asks []*step
-	reservations := 0
+	gangs := 0
 	for _, s := range c.ready {
 		if s.pending == 0 || s.job.state.Final() || !c.mayStart(s) {
 			continue
@@ -69,10 +81,12 @@
 		if c.place(s) {
 			continue
 		}
-		if s.spec.Gang && reservations < maxReservations && c.reserve(s) {
-			reservations++
+		ready := !s.spec.Gang
+		if s.spec.Gang && reserving && gangs < maxReservations {
+			gangs++
+			ready = len(s.advice.good) == 0 || c.reserve(s)
 		}
-		if c.wantsAdvice(s) {
+		if ready && c.wantsAdvice(s) {
 			asks = append(asks, s)
 		}
 	}
@@ -86,16 +100,19 @@
 	})
 }
 
-// maxReservations bounds the gangs that room is kept for at one time: more would
-// leave room empty for gangs that are far back.
-const maxReservations = 2
+// maxReservations bounds the waiting gangs that are asked about and that room is
+// kept for: those further back would leave room empty.
+const maxReservations = 6
+
+// reserveInterval spaces the reckoning of reservations, which costs more than a
+// placement; ends that matter for a gang are some tens of milliseconds apart.
+const reserveInterval = 60 * time.Millisecond
 
 func (c *Cell) sortReady() {
-	ranks := make(map[*step]rank, len(c.ready))
 	for _, s := range c.ready {
-		ranks[s] = c.rank(s)
+		s.rank = c.rank(s)
 	}
-	slices.SortStableFunc(c.ready, func(a, b *step) int { return ranks[a].compare(ranks[b]) })
+	slices.SortStableFunc(c.ready, func(a, b *step) int { return a.rank.compare(b.rank) })
 }
 
 // mayStart reports whether a step's tasks may be started now, room aside.
@@ -125,4 +142,3 @@
 
 // farFuture stands for the end of a task that has none.
 const farFuture = 24 * time.Hour
-
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -136,6 +136,11 @@
 		return false
 	}
 	s.gang.broken = false
+	for _, w := range c.workers {
+		if w.reservedFor == s {
+			w.reservedFor = nil
+		}
+	}
 	run := c.nextRun(s, 0)
 	index := 0
 	for _, k := range chosen {
@@ -216,11 +221,15 @@
 }
 
 // reserved reports whether a worker's room is kept for a gang that comes before
-// the step, and the step would not be done by the time the gang needs it.
+// the step, and the step would neither leave it enough nor be done by the time
+// the gang needs it.
 func (c *Cell) reserved(w *worker, s *step) bool {
 	if w.reservedFor == nil || w.reservedFor == s {
 		return false
 	}
+	if s.spec.Held().Add(w.reservedRoom).Within(w.free) {
+		return false
+	}
 	ends := c.now.Add(time.Duration(float64(s.spec.Estimate) * c.timeFactor(w, s)))
 	return s.spec.Lasting || ends.After(w.reservedUntil)
 }
@@ -235,8 +244,8 @@
 // which enough of what runs on its workers will have ended, and keeps later work
 // off those workers unless that ends before (EASY backfilling; Lifka, "The
 // ANL/IBM SP scheduling system", 1995). Without it small tasks take each gap and
-// a gang never finds its room at one moment. It reports false if the gang's
-// workers are not known or would never have room.
+// a gang never finds its room at one moment. It reports whether the gang fits
+// now.
 func (c *Cell) reserve(s *step) bool {
 	room := make(map[*worker]tanagerwork.Resources)
 	var releases []release
@@ -272,11 +281,12 @@
 	if total < len(s.tasks) {
 		return false
 	}
-	c.markReserved(s, room, c.now.Add(at))
-	return true
+	return c.markReserved(s, room, c.now.Add(at)) && at == 0
 }
 
-func (c *Cell) markReserved(s *step, room map[*worker]tanagerwork.Resources, until time.Time) {
+// markReserved keeps the room and reports whether there is enough beside that of
+// other gangs.
+func (c *Cell) markReserved(s *step, room map[*worker]tanagerwork.Resources, until time.Time) bool {
 	var found []candidate
 	for w, free := range room {
 		if n := s.spec.Held().Copies(free, c.spreadLeft(s, w)); n > 0 && w.reservedFor == nil {
@@ -287,10 +297,13 @@
 			})
 		}
 	}
-	for _, k := range fill(found, len(s.tasks)) {
+	chosen := fill(found, len(s.tasks))
+	for _, k := range chosen {
 		k.worker.reservedFor = s
+		k.worker.reservedRoom = s.spec.Held().Times(k.copies)
 		k.worker.reservedUntil = until
 	}
+	return chosen != nil
 }
 
 // gangWorker reports whether a worker is known to be allowed for a gang.
--- a/tanager/tanagerdispatch/predecessor.go
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -47,17 +47,31 @@
 }
 
 // Roster returns the workers that a successor has to account for, and whether
-// some of them are not in the stored roster yet.
+// the stored roster has others. Workers that are silent and run nothing are left
+// out, so that a successor need not wait for their leases.
 func (c *Cell) Roster() (ids []string, changed bool) {
 	for id, w := range c.workers {
-		if w.listed || len(w.attempts) > 0 {
+		wanted := len(w.attempts) > 0 || w.listed && w.misses < rosterMisses
+		if _, awaited := c.unaccounted[id]; awaited {
+			wanted = true
+		}
+		if wanted {
+			ids = append(ids, id)
+		}
+		changed = changed || wanted != w.rostered
+	}
+	for id := range c.unaccounted {
+		if c.workers[id] == nil {
 			ids = append(ids, id)
-			changed = changed || !w.rostered
 		}
 	}
 	return ids, changed
 }
 
+// rosterMisses is how many polls in a row a worker leaves unanswered before it
+// counts as silent.
+const rosterMisses = 3
+
 // RosterStored tells that a roster is in the store: only its workers may be
 // used.
 func (c *Cell) RosterStored(ids []string) {
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -23,7 +23,7 @@
 	// predecessorWindow bounds how long a scheduler that has been replaced goes
 	// on extending leases: one poll until a worker refuses its epoch, and the
 	// timeout of that call.
-	predecessorWindow = 3 * time.Second
+	predecessorWindow = pollWait + 700*time.Millisecond
 	// pollWait is how long a worker may hold back its answer to a poll. It also
 	// bounds how old the progress of running tasks is.
 	pollWait = time.Second
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -23,6 +23,8 @@
 	synced   bool
 	free     tanagerwork.Resources
 	attempts map[*attempt]struct{}
+	// strays is the room of runs that are there but no attempt stands for.
+	strays tanagerwork.Resources
 	// clock is the worker's clock as it was at clockAt; leaseEnd the latest
 	// deadline that was sent, on that clock.
 	clock    time.Duration
@@ -41,9 +43,10 @@
 	acks               []ack
 	leavesAt           time.Time
 	health             health
-	// reservedFor is the gang that waits for this worker's room until
-	// reservedUntil.
+	// reservedFor is the gang that waits for reservedRoom on this worker, which
+	// will be free at reservedUntil.
 	reservedFor   *step
+	reservedRoom  tanagerwork.Resources
 	reservedUntil time.Time
 }
 
@@ -181,6 +184,7 @@
 	c.loseRuns(w, "worker restarted")
 	w.life = life
 	w.synced = false
+	w.setStrays(tanagerwork.Resources{})
 	w.clock, w.leaseEnd = 0, 0
 	w.seen, w.acknowledged = 0, 0
 	w.acks = nil
@@ -372,6 +376,7 @@
 // believed to be there.
 func (c *Cell) applyRunning(w *worker, r tanagerport.Report, sent time.Time) {
 	shown := make(map[*attempt]bool, len(r.Running))
+	var strays tanagerwork.Resources
 	for _, row := range r.Running {
 		a := c.attemptOf(w, row)
 		if a == nil {
@@ -379,11 +384,13 @@
 		}
 		if a == nil {
 			c.stopStray(w, row)
+			strays = strays.Add(c.strayRoom(w, row))
 			continue
 		}
 		shown[a] = true
 		c.confirm(a, row)
 	}
+	w.setStrays(strays)
 	if !r.Whole {
 		return
 	}
@@ -402,6 +409,20 @@
 	}
 }
 
+// strayRoom returns the room that a run takes which no attempt stands for: all
+// of the worker's if its job is not known.
+func (c *Cell) strayRoom(w *worker, row tanagerport.RunningRow) tanagerwork.Resources {
+	if s := c.stepOf(row.Task); s != nil {
+		return s.spec.Held()
+	}
+	return w.entry.Capacity
+}
+
+func (w *worker) setStrays(r tanagerwork.Resources) {
+	w.free = w.free.Add(w.strays).Sub(r)
+	w.strays = r
+}
+
 // goneBy reports whether a worker that does not show the attempt in a report
 // asked for at that time does not have it, and never will.
 func (a *attempt) goneBy(asked time.Time) bool {
@@ -458,7 +479,7 @@
 // is not wanted.
 func (c *Cell) adopt(w *worker, row tanagerport.RunningRow) *attempt {
 	s := c.stepOf(row.Task)
-	if s == nil || s.job.state.Final() || s.waitsFor > 0 {
+	if s == nil || s.job.state.Final() {
 		return nil
 	}
 	t := &s.tasks[row.Task.Index]
--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// Times returns n * r.
+func (r Resources) Times(n int) Resources {
+	return Resources{
+		MilliCPU: r.MilliCPU * int64(n),
+		MemoryMB: r.MemoryMB * int64(n),
+		GPUs:     r.GPUs * int64(n),
+	}
+}
+
 // Within reports whether r is at most o in each dimension.
 func (r Resources) Within(o Resources) bool {
 	return r.MilliCPU <= o.MilliCPU && r.MemoryMB <= o.MemoryMB && r.GPUs <= o.GPUs
--- a/tanager/tanagerwork/record.go
+++ b/tanager/tanagerwork/record.go
@@ -1,6 +1,9 @@
 package tanagerwork
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // State is what a caller is told about a job.
 type State string
@@ -38,12 +41,26 @@
 	// AllDone replaces Done when every task is done.
 	AllDone bool  `json:"all_done,omitempty"`
 	Done    []int `json:"done,omitempty"`
-	// Failures counts failed runs by task; a gang counts under task 0.
-	Failures map[int]int `json:"failures,omitempty"`
+	// Failures are the failed runs by task; a gang's stand under task 0.
+	Failures map[int]FailedRuns `json:"failures,omitempty"`
 	// Saved is the latest checkpoint by task; a gang's stands under task 0.
 	Saved map[int]string `json:"saved,omitempty"`
 }
 
+// FailedRuns are the numbers of the runs of a task that failed. Workers list
+// their ends again until they are acknowledged, and a new scheduler gets them in
+// any order.
+type FailedRuns []int64
+
+// Add notes the failure of a run and reports whether it is a new one.
+func (f *FailedRuns) Add(run int64) bool {
+	if slices.Contains(*f, run) {
+		return false
+	}
+	*f = append(*f, run)
+	return true
+}
+
 // Progress is what is stored of a job while it runs and after its end.
 type Progress struct {
 	State State          `json:"state"`
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -11,7 +11,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -24,7 +23,6 @@
 	"github.com/go-chi/chi/v5"
 	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
-	"github.com/rs/zerolog/diode"
 
 	tanagerplatform "tanagersail.example/platform"
 	"tanagersail.example/tanager/tanagerdispatch"
@@ -43,17 +41,13 @@
 	leaderTTL = 2 * time.Second
 	// workerLease is how long workers run on without hearing: long enough for a
 	// restart of all daemons.
-	workerLease = 6 * time.Second
+	workerLease = 5 * time.Second
 	// dialTimeout and callTimeout bound calls inside one region, where an
 	// answer takes milliseconds and a slow store's some hundreds.
 	dialTimeout = 400 * time.Millisecond
 	callTimeout = 900 * time.Millisecond
 	// orderTimeout bounds an order to a worker, which answers in milliseconds.
 	orderTimeout = 400 * time.Millisecond
-	// logLines is how many lines of the log may wait for the output.
-	logLines = 20000
-	// logPoll is how often waiting lines are written.
-	logPoll = 20 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	callerIdle    = 60 * time.Second
@@ -64,22 +58,6 @@
 	lastAnswers = 1500 * time.Millisecond
 )
 
-// newLog returns a log that never blocks: lines that do not fit are dropped and
-// counted.
-func newLog(out io.Writer) zerolog.Logger {
-	var log zerolog.Logger
-	writer := diode.NewWriter(out, logLines, logPoll, func(missed int) {
-		log.Warn().Str("event", "log_lines_dropped").Int("lines", missed).Send()
-	})
-	log = zerolog.New(zerolog.ConsoleWriter{
-		Out:        writer,
-		NoColor:    true,
-		TimeFormat: time.RFC3339Nano,
-		PartsOrder: []string{zerolog.TimestampFieldName, zerolog.LevelFieldName},
-	}).With().Timestamp().Logger()
-	return log
-}
-
 // Serve runs a member of a cell until SIGTERM.
 func Serve(path string) error {
 	settings, err := tanagersettings.LoadMember(path)
--- a/tanagerd/tanagercell/commit.go
+++ b/tanagerd/tanagercell/commit.go
@@ -134,6 +134,7 @@
 			for _, s := range batch {
 				s.open = true
 			}
+			time.Sleep(storePause)
 		default:
 			if !anyOpen(batch) {
 				settleAll(batch, refused)
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -61,6 +61,7 @@
 	// members are the daemons heard of by the scheduler.
 	members     map[string]time.Time
 	lastRemoval time.Time
+	lastLoad    time.Time
 
 	standAt   time.Time
 	standing  bool
@@ -72,7 +73,10 @@
 	storeUp   bool
 	stopping  bool
 	questions map[uint64]chan stateTold
+	forwards  map[uint64]chan tanagerport.Reply
 	asked     uint64
+	// desk serves what other daemons forward.
+	desk *Desk
 }
 
 // view is what callers' goroutines see of the control state.
@@ -164,6 +168,25 @@
 	c.flush(now)
 	c.removeExpired(c.ctx, now)
 	c.tellHints(now)
+	c.logLoad(now)
+}
+
+// logLoad writes a summary of the cell once a second.
+func (c *control) logLoad(now time.Time) {
+	if now.Sub(c.lastLoad) < loadInterval {
+		return
+	}
+	c.lastLoad = now
+	l := c.cell.Load()
+	n := c.cell.Counters()
+	c.log.Info().Str("event", "cell_load").Uint64("epoch", c.lead.epoch).
+		Int("workers", l.Workers).Int64("capacity_cpu", l.Capacity).Int64("used_cpu", l.Used).
+		Int("lasting", l.Lasting).Int("on_time", l.OnTime).Int("late", l.Late).Int("useless", l.Useless).
+		Int("gangs", l.Gangs).Int("reserved", l.Reserved).Int("asking", l.Asking).
+		Int("advisers", l.Advisers).Int("advisers_busy", l.BusyAdvisers).
+		Int("inherited_workers", l.Inherited).Int("open_jobs", l.Open).
+		Int64("starts", n.Starts).Int64("stops", n.Stops).Int64("polls", n.Polls).
+		Int64("advice_calls", n.AdviceCalls).Int64("notes_dropped", n.NotesDropped).Send()
 }
 
 // follow does what each daemon does: say hello, renew or stand for election.
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -68,6 +68,7 @@
 		hints:     make(map[string]tanagerdispatch.Hint),
 		storeUp:   true,
 		questions: make(map[uint64]chan stateTold),
+		forwards:  make(map[uint64]chan tanagerport.Reply),
 	}
 	c.publishView()
 	d := &Daemon{
@@ -81,6 +82,7 @@
 		committer: d.committer,
 		final:     make(map[tanagerwork.JobID]tanagerwork.State),
 	}
+	c.desk = d.desk
 	d.wireCommitter()
 	return d
 }
--- a/tanagerd/tanagercell/desk.go
+++ b/tanagerd/tanagercell/desk.go
@@ -51,18 +51,16 @@
 			RetryAfter: hint.RetryAfter,
 		})
 	}
-	result := tanagerport.Result{Reply: tanagerport.ReplyUnsure}
-	switch d.committer.submit(ctx, tanagerwork.Record{
-		ID:      s.ID,
-		Queue:   s.Queue.Name,
-		Service: s.Queue.Service,
-		Arrived: s.Arrived,
-		Spec:    s.Spec,
-	}) {
-	case accepted:
-		result.Reply = tanagerport.ReplyAccepted
-	case refused:
-		result.Reply = tanagerport.ReplyUnavailable
+	result := tanagerport.Result{
+		Reply: d.submit(ctx, tanagerwork.Record{
+			ID:      s.ID,
+			Queue:   s.Queue.Name,
+			Service: s.Queue.Service,
+			Arrived: s.Arrived,
+			Spec:    s.Spec,
+		}),
+	}
+	if result.Reply == tanagerport.ReplyUnavailable {
 		result.RetryAfter = refusalPause
 	}
 	return d.answered(s.Queue.Name, s.ID, now, result)
@@ -172,27 +170,44 @@
 // Cancel stores the cancellation of a job that exists.
 func (d *Desk) Cancel(ctx context.Context, id tanagerwork.JobID) tanagerport.Result {
 	began := d.control.timer.Now()
-	err := d.cancel(ctx, id)
-	result := tanagerport.Result{Reply: tanagerport.ReplyAccepted}
-	switch {
-	case errorx.IsOfType(err, tanagerport.NotFound):
-		result.Reply = tanagerport.ReplyNoJob
-	case err != nil:
-		result.Reply = tanagerport.ReplyUnavailable
+	v := d.control.view.Load()
+	result := tanagerport.Result{Reply: tanagerport.ReplyUnavailable}
+	if v.storeUp {
+		here, done := context.WithTimeout(ctx, submitTimeout)
+		result.Reply = d.cancelHere(here, id)
+		done()
+	}
+	if result.Reply == tanagerport.ReplyUnavailable && d.mayForward(v) {
+		result.Reply = d.forward(ctx, forwarded{Cancel: id})
+	}
+	if result.Reply == tanagerport.ReplyUnavailable {
 		result.RetryAfter = refusalPause
-	default:
-		d.control.post(tell{
-			topic:   topicCancel,
-			payload: cancelStored{ID: id},
-		})
 	}
 	took := d.control.timer.Now().Sub(began)
 	d.control.metrics.CallerAnswered(d.control.ctx, "cancel", string(result.Reply), took)
 	d.control.log.Info().Str("event", "cancel_"+string(result.Reply)).Str("job", string(id)).
-		Dur("took_ms", took).AnErr("error", err).Send()
+		Dur("took_ms", took).Send()
 	return result
 }
 
+// cancelHere cancels a job and tells the scheduler. Repeating it does no harm, so
+// a cancellation that was not answered counts as refused.
+func (d *Desk) cancelHere(ctx context.Context, id tanagerwork.JobID) tanagerport.Reply {
+	err := d.cancel(ctx, id)
+	switch {
+	case errorx.IsOfType(err, tanagerport.NotFound):
+		return tanagerport.ReplyNoJob
+	case err != nil:
+		d.control.log.Warn().Str("event", "cancel_not_stored").Str("job", string(id)).Err(err).Send()
+		return tanagerport.ReplyUnavailable
+	}
+	d.control.post(tell{
+		topic:   topicCancel,
+		payload: cancelStored{ID: id},
+	})
+	return tanagerport.ReplyAccepted
+}
+
 func (d *Desk) cancel(ctx context.Context, id tanagerwork.JobID) error {
 	store := d.control.ports.Store
 	if _, err := store.Get(ctx, jobPrefix+string(id)); err != nil {
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -20,6 +20,8 @@
 	topicStateTold    = "cell.state.told"
 	topicAdviceAsked  = "cell.advice.asked"
 	topicAdviceTold   = "cell.advice.told"
+	topicForwarded    = "cell.forwarded"
+	topicForwardTold  = "cell.forward.told"
 	memberSeparator   = "/"
 	memberSuffixBytes = 8
 )
@@ -57,6 +59,20 @@
 	State    tanagerwork.State `json:"state"`
 }
 
+// forwarded asks the scheduler to store a job or a cancellation for a daemon that
+// does not reach the store.
+type forwarded struct {
+	Question uint64 `json:"question"`
+	// Record is nil for the cancellation of Cancel.
+	Record *tanagerwork.Record `json:"record,omitempty"`
+	Cancel tanagerwork.JobID   `json:"cancel,omitempty"`
+}
+
+type forwardTold struct {
+	Question uint64            `json:"question"`
+	Reply    tanagerport.Reply `json:"reply"`
+}
+
 type adviceAsked struct {
 	Order tanagerdispatch.AdviceOrder `json:"order"`
 }
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -35,6 +35,10 @@
 		err = handle(m, func(q stateAsked) { c.send(from, topicStateTold, c.stateOf(q.ID, q.Question)) })
 	case topicStateTold:
 		err = handle(m, func(t stateTold) { c.answerQuestion(t) })
+	case topicForwarded:
+		err = handle(m, func(f forwarded) { c.serveForwarded(from, f) })
+	case topicForwardTold:
+		err = handle(m, func(t forwardTold) { c.answerForwarded(t) })
 	case topicAdviceAsked:
 		err = handle(m, func(a adviceAsked) { c.advise(from, a) })
 	case topicAdviceTold:
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -55,11 +55,13 @@
 	// tickInterval runs the systems when no event does; tickGap is the least
 	// time between two runs, so that a burst of events shares one.
 	tickInterval = 25 * time.Millisecond
-	tickGap      = 5 * time.Millisecond
+	tickGap      = 15 * time.Millisecond
 	// helloInterval spaces the messages by which daemons and the scheduler know
 	// of each other; memberTimeout is a few of them.
 	helloInterval = 200 * time.Millisecond
 	memberTimeout = 1200 * time.Millisecond
+	// loadInterval spaces the summaries in the log.
+	loadInterval = time.Second
 	// writeGap spaces writes of progress, so that changes share a transaction.
 	writeGap = 30 * time.Millisecond
 	// writesInFlight bounds the transactions of progress on their way.
@@ -72,6 +74,10 @@
 	// stateTimeout bounds the question to the scheduler before the store is
 	// asked instead.
 	stateTimeout = 300 * time.Millisecond
+	// submitTimeout bounds the store's part in an acceptance before the
+	// scheduler is asked; forwardTimeout bounds that.
+	submitTimeout  = 900 * time.Millisecond
+	forwardTimeout = 1200 * time.Millisecond
 	// staleHint is the age after which the scheduler's hints count for nothing;
 	// the published bound of a count's age.
 	staleHint = 2 * time.Second
