--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -16,10 +16,14 @@
 	asked, good map[string]bool
 	tickets     map[string]string
 	until       time.Time
-	asking      bool
+	// askingUntil is set while a call is under way: after it, the answer counts
+	// as lost with its adviser.
+	askingUntil time.Time
 	notBefore   time.Time
 }
 
+func (a *adviceState) asking(now time.Time) bool { return now.Before(a.askingUntil) }
+
 const (
 	// ticketMargin is the part of a ticket's time that is left for the start's
 	// way to the worker.
@@ -46,9 +50,9 @@
 // one daemon one at a time.
 type adviser struct {
 	name string
-	busy bool
-	// since is when the present call began; short ones are kept for short calls.
-	since time.Time
+	// busyUntil is when the answer to the present call counts as lost.
+	busyUntil time.Time
+	// short advisers are kept for short calls.
 	short bool
 }
 
@@ -60,8 +64,9 @@
 	Expected time.Duration
 }
 
-// adviserTimeout frees an adviser whose answer got lost with its connection.
-const adviserTimeout = 4 * time.Second
+// adviceGrace is how much longer than expected a call for advice may take: its
+// way through the adviser and a queue at the service.
+const adviceGrace = 1500 * time.Millisecond
 
 // SetAdvisers tells which daemons can ask for advice.
 func (c *Cell) SetAdvisers(names []string) {
@@ -84,7 +89,7 @@
 
 // wantsAdvice reports whether it is time to ask which workers a step may use.
 func (c *Cell) wantsAdvice(s *step) bool {
-	if s.job.queue.config.Advice == nil || s.advice.asking || c.now.Before(s.advice.notBefore) {
+	if s.job.queue.config.Advice == nil || s.advice.asking(c.now) || c.now.Before(s.advice.notBefore) {
 		return false
 	}
 	if s.advice.permits(c.now, s.job.queue) && len(s.advice.tickets) > 0 {
@@ -122,9 +127,8 @@
 		if a == nil {
 			continue
 		}
-		a.busy = true
-		a.since = c.now
-		s.advice.asking = true
+		a.busyUntil = c.now.Add(expected + adviceGrace)
+		s.advice.askingUntil = a.busyUntil
 		c.counters.AdviceCalls++
 		c.out.Advice = append(c.out.Advice, AdviceOrder{
 			Adviser:  a.name,
@@ -138,10 +142,7 @@
 func (c *Cell) freeAdviser(expected time.Duration) *adviser {
 	for _, name := range sortedKeys(c.advisers) {
 		a := c.advisers[name]
-		if a.busy && c.now.Sub(a.since) > adviserTimeout {
-			a.busy = false
-		}
-		if !a.busy && (!a.short || expected < longCall) {
+		if c.now.After(a.busyUntil) && (!a.short || expected < longCall) {
 			return a
 		}
 	}
@@ -194,7 +195,7 @@
 func (c *Cell) AdviceAnswered(now time.Time, order AdviceOrder, asked time.Time, advice tanagerport.Advice, err error) {
 	c.now = now
 	if a := c.advisers[order.Adviser]; a != nil {
-		a.busy = false
+		a.busyUntil = time.Time{}
 	}
 	j := c.jobs[order.Step.Job]
 	if j == nil {
@@ -204,7 +205,7 @@
 	if s == nil {
 		return
 	}
-	s.advice.asking = false
+	s.advice.askingUntil = time.Time{}
 	if err != nil {
 		s.advice.notBefore = now.Add(adviceRetry)
 		c.noteAdvice(s, kindOf(err), now.Sub(asked))
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -36,10 +36,10 @@
 	inflation float64
 	// reservedAt is when reservations were last made.
 	reservedAt time.Time
-	hints       map[string]Hint
-	hintsAt     time.Time
-	out         Orders
-	counters    Counters
+	hints      map[string]Hint
+	hintsAt    time.Time
+	out        Orders
+	counters   Counters
 }
 
 // Counters are totals since the cell was made.
--- a/tanager/tanagerdispatch/load.go
+++ b/tanager/tanagerdispatch/load.go
@@ -36,12 +36,15 @@
 		}
 	}
 	for _, a := range c.advisers {
-		if a.busy {
+		if c.now.Before(a.busyUntil) {
 			l.BusyAdvisers++
 		}
 	}
 	for _, s := range c.ready {
 		l.count(c.rank(s).tier, s)
+		if s.advice.asking(c.now) {
+			l.Asking++
+		}
 	}
 	return l
 }
@@ -60,7 +63,4 @@
 	if s.spec.Gang {
 		l.Gangs++
 	}
-	if s.advice.asking {
-		l.Asking++
-	}
 }
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -93,7 +93,7 @@
 	case err == nil && answer.Verdict == tanagerport.Accepted:
 		c.startAccepted(a)
 	case err == nil:
-		c.startRefused(a, answer.Verdict)
+		c.startRefused(a, order.Start.Epoch, answer.Verdict)
 	case errorx.IsOfType(err, tanagerport.Refused):
 		c.unreached(a, err)
 	default:
@@ -125,13 +125,12 @@
 }
 
 // startRefused applies a verdict that proves that this order started nothing.
-func (c *Cell) startRefused(a *attempt, v tanagerport.Verdict) {
+func (c *Cell) startRefused(a *attempt, epoch uint64, v tanagerport.Verdict) {
 	c.counters.StartsRefused++
 	c.noteAttempt("start_refused", a, string(v))
 	switch v {
 	case tanagerport.Fenced:
-		c.deposed = true
-		return
+		c.fenced(epoch)
 	case tanagerport.TicketRejected:
 		a.step.advice.expire()
 	case tanagerport.Unhealthy:
@@ -263,7 +262,7 @@
 		a.worker.noteClock(answer.Clock, now)
 		a.stopAnswered = now
 	case tanagerport.Fenced:
-		c.deposed = true
+		c.fenced(order.Stop.Epoch)
 	}
 }
 
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -298,7 +298,7 @@
 		return
 	}
 	if err != nil || r.Verdict != tanagerport.Accepted {
-		c.pollFailed(w, r.Verdict, err)
+		c.pollFailed(w, order.Poll.Epoch, r.Verdict, err)
 		return
 	}
 	w.misses = 0
@@ -315,12 +315,12 @@
 	c.applyRunning(w, r, sent)
 }
 
-func (c *Cell) pollFailed(w *worker, v tanagerport.Verdict, err error) {
+func (c *Cell) pollFailed(w *worker, epoch uint64, v tanagerport.Verdict, err error) {
 	w.misses++
 	w.pollDue = c.now.Add(pollRetry * time.Duration(min(w.misses, 4)))
 	switch {
 	case v == tanagerport.Fenced:
-		c.deposed = true
+		c.fenced(epoch)
 	case v == tanagerport.OtherLife:
 		c.loseRuns(w, "another incarnation answers at its address")
 		w.synced = false
@@ -334,6 +334,12 @@
 	}
 }
 
+// fenced notes that a worker refused an order's epoch. An order of an earlier
+// term of this scheduler proves nothing.
+func (c *Cell) fenced(epoch uint64) {
+	c.deposed = c.deposed || epoch == c.epoch
+}
+
 func kindOf(err error) string {
 	if typed := errorx.Cast(err); typed != nil {
 		return typed.Type().FullName()
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -74,6 +74,8 @@
 	stopping  bool
 	questions map[uint64]chan stateTold
 	forwards  map[uint64]chan tanagerport.Reply
+	// resets are the last resets of connections, by member.
+	resets map[string]time.Time
 	asked     uint64
 	// desk serves what other daemons forward.
 	desk *Desk
@@ -200,12 +202,23 @@
 		c.helloAt = now
 		deaf := now.Sub(c.hintsAt) > memberTimeout
 		if deaf {
-			c.transport.Reset(c.lead.holder.Member)
+			c.reset(c.lead.holder.Member, now)
 		}
 		c.send(c.lead.holder.Member, topicHello, hello{Deaf: deaf})
 	}
 }
 
+// reset opens the connection to a daemon anew, but not so often that nothing gets
+// through the new one.
+func (c *control) reset(member string, now time.Time) {
+	if now.Sub(c.resets[member]) < memberTimeout {
+		return
+	}
+	c.resets[member] = now
+	c.transport.Reset(member)
+	c.log.Info().Str("event", "link_reset").Str("member", member).Send()
+}
+
 // leading reports whether the store names this daemon as the scheduler.
 func (c *control) leading() bool { return c.lead.holder.Member == c.member }
 
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -69,6 +69,7 @@
 		storeUp:   true,
 		questions: make(map[uint64]chan stateTold),
 		forwards:  make(map[uint64]chan tanagerport.Reply),
+		resets:    make(map[string]time.Time),
 	}
 	c.publishView()
 	d := &Daemon{
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -66,7 +66,7 @@
 		c.log.Info().Str("event", "daemon_heard").Str("daemon", from).Send()
 		c.lastHints = time.Time{}
 	} else if h.Deaf {
-		c.transport.Reset(from)
+		c.reset(from, c.timer.Now())
 	}
 	c.members[from] = c.timer.Now()
 }
