--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -70,19 +70,28 @@
 
 // SetAdvisers tells which daemons can ask for advice.
 func (c *Cell) SetAdvisers(names []string) {
-	next := make(map[string]*adviser, len(names))
+	next := make([]*adviser, 0, len(names))
 	slices.Sort(names)
 	for i, name := range names {
-		a := c.advisers[name]
+		a := c.adviser(name)
 		if a == nil {
 			a = &adviser{name: name}
 		}
 		a.short = i < shortLanes(len(names))
-		next[name] = a
+		next = append(next, a)
 	}
 	c.advisers = next
 }
 
+func (c *Cell) adviser(name string) *adviser {
+	for _, a := range c.advisers {
+		if a.name == name {
+			return a
+		}
+	}
+	return nil
+}
+
 // shortLanes is the number of advisers that are kept for short calls: a quarter,
 // but none if there is only one.
 func shortLanes(n int) int { return (n + 2) / 4 }
@@ -103,8 +112,8 @@
 func (c *Cell) worthAsking(s *step) bool {
 	known := len(s.advice.good) > 0
 	held := s.spec.Held()
-	for _, w := range c.workers {
-		if !held.Within(w.free) || !c.inUse(w) || w.entry.Service != s.job.queue.config.Service {
+	for _, w := range c.usable {
+		if !held.Within(w.free) || w.entry.Service != s.job.queue.config.Service {
 			continue
 		}
 		if (!known || s.advice.good[w.id]) && c.spreadLeft(s, w) > 0 && !c.reserved(w, s) {
@@ -117,6 +126,12 @@
 // ask hands steps to free advisers, in order of rank.
 func (c *Cell) ask(steps []*step) {
 	for _, s := range steps {
+		if c.freeAdviser(s.job.queue.config.Advice.Decision) == nil {
+			if c.freeAdviser(0) == nil {
+				return
+			}
+			continue
+		}
 		names := c.adviceNames(s)
 		if len(names) == 0 {
 			continue
@@ -140,8 +155,7 @@
 }
 
 func (c *Cell) freeAdviser(expected time.Duration) *adviser {
-	for _, name := range sortedKeys(c.advisers) {
-		a := c.advisers[name]
+	for _, a := range c.advisers {
 		if c.now.After(a.busyUntil) && (!a.short || expected < longCall) {
 			return a
 		}
@@ -155,8 +169,8 @@
 // needs them.
 func (c *Cell) adviceNames(s *step) []string {
 	var found []candidate
-	for _, w := range c.workers {
-		if !c.inUse(w) || w.entry.Service != s.job.queue.config.Service {
+	for _, w := range c.usable {
+		if w.entry.Service != s.job.queue.config.Service {
 			continue
 		}
 		if len(s.advice.good) > 0 && !s.advice.good[w.id] {
@@ -194,7 +208,7 @@
 // AdviceAnswered applies the answer to a call for advice.
 func (c *Cell) AdviceAnswered(now time.Time, order AdviceOrder, asked time.Time, advice tanagerport.Advice, err error) {
 	c.now = now
-	if a := c.advisers[order.Adviser]; a != nil {
+	if a := c.adviser(order.Adviser); a != nil {
 		a.busyUntil = time.Time{}
 	}
 	j := c.jobs[order.Step.Job]
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -23,6 +23,8 @@
 	open    map[tanagerwork.JobID]*job
 	changed map[tanagerwork.JobID]*job
 	workers map[string]*worker
+	// usable are the workers that may get new work, by id, as of the last tick.
+	usable []*worker
 	// ready are the steps with tasks that wait for a worker.
 	ready []*step
 	// roomVersion counts the moments at which room was freed somewhere.
@@ -30,7 +32,7 @@
 	// unaccounted are the workers that may run what a predecessor started, with
 	// the time after which their leases have run out.
 	unaccounted map[string]time.Time
-	advisers    map[string]*adviser
+	advisers    []*adviser
 	// inflation is the running average of how much longer than their estimates
 	// tasks take.
 	inflation float64
@@ -64,7 +66,6 @@
 		workers:     make(map[string]*worker),
 		roomVersion: 1,
 		unaccounted: make(map[string]time.Time),
-		advisers:    make(map[string]*adviser),
 		inflation:   1,
 		hints:       make(map[string]Hint),
 	}
--- a/tanager/tanagerdispatch/order.go
+++ b/tanager/tanagerdispatch/order.go
@@ -71,10 +71,16 @@
 		c.reservedAt = c.now
 		c.clearReservations()
 	}
+	c.findUsable()
 	c.sortReady()
 	var asks []*step
-	gangs := 0
+	gangs, hopeless := 0, 0
 	for _, s := range c.ready {
+		if s.rank.tier == useless {
+			if hopeless++; hopeless > maxUseless {
+				break
+			}
+		}
 		if s.pending == 0 || s.job.state.Final() || !c.mayStart(s) {
 			continue
 		}
@@ -100,6 +106,21 @@
 	})
 }
 
+// maxUseless bounds the steps without use to anybody that are looked at in one
+// tick, so that a backlog of them costs nothing.
+const maxUseless = 32
+
+// findUsable lists the workers that may get new work.
+func (c *Cell) findUsable() {
+	c.usable = c.usable[:0]
+	for _, w := range c.workers {
+		if c.inUse(w) {
+			c.usable = append(c.usable, w)
+		}
+	}
+	slices.SortFunc(c.usable, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+}
+
 // maxReservations bounds the waiting gangs that are asked about and that room is
 // kept for: those further back would leave room empty.
 const maxReservations = 6
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -52,7 +52,7 @@
 	var best *worker
 	var bestScore float64
 	held := s.spec.Held()
-	for _, w := range c.workers {
+	for _, w := range c.usable {
 		if !held.Within(w.free) || !c.eligible(w, s) || c.spreadLeft(s, w) < 1 || c.reserved(w, s) {
 			continue
 		}
@@ -79,9 +79,9 @@
 	return factor
 }
 
-// eligible reports whether a worker may run tasks of a step at all.
+// eligible reports whether a usable worker may run tasks of a step now.
 func (c *Cell) eligible(w *worker, s *step) bool {
-	if !c.inUse(w) || w.entry.Service != s.job.queue.config.Service {
+	if w.entry.Service != s.job.queue.config.Service {
 		return false
 	}
 	if s.spec.Label != "" && !slices.Contains(w.entry.Labels, s.spec.Label) {
@@ -119,7 +119,7 @@
 // placeGang starts all tasks of a gang, or none.
 func (c *Cell) placeGang(s *step) bool {
 	var found []candidate
-	for _, w := range c.workers {
+	for _, w := range c.usable {
 		if !c.eligible(w, s) || c.reserved(w, s) {
 			continue
 		}
@@ -249,7 +249,7 @@
 func (c *Cell) reserve(s *step) bool {
 	room := make(map[*worker]tanagerwork.Resources)
 	var releases []release
-	for _, w := range c.workers {
+	for _, w := range c.usable {
 		if !c.gangWorker(w, s) {
 			continue
 		}
@@ -308,7 +308,7 @@
 
 // gangWorker reports whether a worker is known to be allowed for a gang.
 func (c *Cell) gangWorker(w *worker, s *step) bool {
-	if !c.inUse(w) || w.entry.Service != s.job.queue.config.Service {
+	if w.entry.Service != s.job.queue.config.Service {
 		return false
 	}
 	if s.spec.Label != "" && !slices.Contains(w.entry.Labels, s.spec.Label) {
