Keep room for gangs by exact release times; let slack yield to them

Change: the time of a reservation comes from the workers' forecast and is not moved back; tasks with more slack stay off a waiting gang's workers; a gang asks about further workers when its own would take longer than a call.

--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -13,15 +13,24 @@
 // adviceState is what a step knows of the workers that it may run on. Which
 // workers are good never changes; tickets expire.
 type adviceState struct {
-	asked, good map[string]bool
-	tickets     map[string]string
-	until       time.Time
+	asked  map[string]bool
+	good   []*worker
+	grants map[string]grant
+	// until is when the last ticket expires.
+	until time.Time
 	// askingUntil is set while a call is under way: after it, the answer counts
 	// as lost with its adviser.
 	askingUntil time.Time
 	notBefore   time.Time
 }
 
+// grant is a ticket for one life of a worker.
+type grant struct {
+	ticket string
+	life   int64
+	until  time.Time
+}
+
 func (a *adviceState) asking(now time.Time) bool { return now.Before(a.askingUntil) }
 
 const (
@@ -44,7 +53,17 @@
 	return q.config.Advice == nil || now.Before(a.until)
 }
 
-func (a *adviceState) expire() { a.until = time.Time{} }
+// ticket returns the valid ticket for a worker, empty if there is none.
+func (a *adviceState) ticket(w *worker, now time.Time) string {
+	g := a.grants[w.id]
+	if g.life != w.life || !now.Before(g.until) {
+		return ""
+	}
+	return g.ticket
+}
+
+// forget drops the ticket that a worker has rejected.
+func (a *adviceState) forget(w *worker) { delete(a.grants, w.id) }
 
 // adviser is a daemon that can call the advice service, which takes the calls of
 // one daemon one at a time.
@@ -96,33 +115,30 @@
 // but none if there is only one.
 func shortLanes(n int) int { return (n + 2) / 4 }
 
-// wantsAdvice reports whether it is time to ask which workers a step may use.
+// wantsAdvice reports whether it is time to ask which workers a step's tasks may
+// use. It keeps the advice service from being asked for tasks that find no room.
 func (c *Cell) wantsAdvice(s *step) bool {
-	if s.job.queue.config.Advice == nil || s.advice.asking(c.now) || c.now.Before(s.advice.notBefore) {
-		return false
-	}
-	if s.advice.permits(c.now, s.job.queue) && len(s.advice.tickets) > 0 {
+	if !c.mayAsk(s) {
 		return false
 	}
-	return s.spec.Gang || c.worthAsking(s)
-}
-
-// worthAsking keeps the advice service from being asked for tasks that find no
-// room.
-func (c *Cell) worthAsking(s *step) bool {
-	known := len(s.advice.good) > 0
 	held := s.spec.Held()
 	for _, w := range c.usable {
-		if !held.Within(w.free) || w.entry.Service != s.job.queue.config.Service {
+		if !held.Within(w.free) || !c.suits(w, s) || c.spreadLeft(s, w) < 1 || c.reserved(w, s) {
 			continue
 		}
-		if (!known || s.advice.good[w.id]) && c.spreadLeft(s, w) > 0 && !c.reserved(w, s) {
+		if !s.advice.asked[w.id] || s.advice.isGood(w) && s.advice.ticket(w, c.now) == "" {
 			return true
 		}
 	}
 	return false
 }
 
+func (c *Cell) mayAsk(s *step) bool {
+	return s.job.queue.config.Advice != nil && !s.advice.asking(c.now) && !c.now.Before(s.advice.notBefore)
+}
+
+func (a *adviceState) isGood(w *worker) bool { return slices.Contains(a.good, w) }
+
 // ask hands steps to free advisers, in order of rank.
 func (c *Cell) ask(steps []*step) {
 	for _, s := range steps {
@@ -163,23 +179,24 @@
 	return nil
 }
 
-// adviceNames chooses the workers to ask about: the good ones once they are
-// known, else those with most room. A call costs its decision and a little for
-// each worker, so as many are named as double the cost, and more if the step
-// needs them.
+// adviceNames chooses the workers to ask about. A gang that room is kept for
+// needs tickets for just those workers, other tasks for the good workers with
+// room. Where these do not suffice, workers that were not asked about yet are
+// named, those with most room first.
 func (c *Cell) adviceNames(s *step) []string {
+	if !s.spec.Gang || s.gang.room == roomNow {
+		if known := c.goodNames(s); len(known) > 0 {
+			return known
+		}
+	}
 	var found []candidate
 	for _, w := range c.usable {
-		if w.entry.Service != s.job.queue.config.Service {
-			continue
+		if c.suits(w, s) && !s.advice.asked[w.id] {
+			found = append(found, candidate{
+				worker: w,
+				copies: c.copies(s, w),
+			})
 		}
-		if len(s.advice.good) > 0 && !s.advice.good[w.id] {
-			continue
-		}
-		found = append(found, candidate{
-			worker: w,
-			copies: c.copies(s, w),
-		})
 	}
 	slices.SortFunc(found, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(b.copies, a.copies), cmp.Compare(b.worker.free.MilliCPU, a.worker.free.MilliCPU), cmp.Compare(a.worker.id, b.worker.id))
@@ -191,6 +208,23 @@
 	return names
 }
 
+// goodNames returns the good workers that the step can use now and has no ticket
+// for.
+func (c *Cell) goodNames(s *step) []string {
+	var names []string
+	held := s.spec.Held()
+	for _, w := range s.advice.good {
+		if !w.usable || !c.suits(w, s) || s.advice.ticket(w, c.now) != "" || len(names) == tanagerport.MaxAdviceWorkers {
+			continue
+		}
+		if s.spec.Gang && w.reservedFor != s || !held.Within(w.free) || c.reserved(w, s) {
+			continue
+		}
+		names = append(names, w.id)
+	}
+	return names
+}
+
 func (c *Cell) adviceWidth(s *step, found []candidate) int {
 	policy := s.job.queue.config.Advice
 	width := tanagerport.MaxAdviceWorkers
@@ -226,14 +260,44 @@
 		return
 	}
 	c.noteAdvice(s, "answered", now.Sub(asked))
-	s.advice.apply(order.Workers, advice, now)
+	c.applyAdvice(s, order.Workers, advice)
+}
+
+func (c *Cell) applyAdvice(s *step, asked []string, advice tanagerport.Advice) {
+	a := &s.advice
+	first := a.asked == nil
+	if first {
+		a.asked = make(map[string]bool)
+		a.grants = make(map[string]grant)
+	}
+	a.until = c.now.Add(advice.Valid - ticketMargin)
+	for _, id := range asked {
+		a.asked[id] = true
+		w := c.workers[id]
+		ticket := advice.Tickets[id]
+		if w == nil || ticket == "" {
+			continue
+		}
+		if !a.isGood(w) {
+			a.good = append(a.good, w)
+		}
+		a.grants[id] = grant{
+			ticket: ticket,
+			life:   w.life,
+			until:  a.until,
+		}
+	}
 	s.blockedAt = 0
-	if len(order.Workers) > 0 && len(s.advice.asked) == len(order.Workers) {
-		share := float64(len(advice.Tickets)) / float64(len(order.Workers))
-		j.queue.goodShare = max((1-learnWeight)*j.queue.goodShare+learnWeight*share, leastGoodShare)
+	if s.gang.room != roomNow {
+		c.dropReservation(s)
+	}
+	if first && len(asked) > 0 {
+		q := s.job.queue
+		share := float64(len(advice.Tickets)) / float64(len(asked))
+		q.goodShare = max((1-learnWeight)*q.goodShare+learnWeight*share, leastGoodShare)
 	}
 	if len(advice.Tickets) == 0 {
-		s.advice.notBefore = now.Add(adviceRetry)
+		a.notBefore = c.now.Add(adviceRetry)
 	}
 }
 
@@ -249,18 +313,3 @@
 		Age:    age,
 	})
 }
-
-func (a *adviceState) apply(asked []string, advice tanagerport.Advice, now time.Time) {
-	if a.asked == nil {
-		a.asked = make(map[string]bool)
-		a.good = make(map[string]bool)
-	}
-	for _, id := range asked {
-		a.asked[id] = true
-	}
-	for id := range advice.Tickets {
-		a.good[id] = true
-	}
-	a.tickets = advice.Tickets
-	a.until = now.Add(advice.Valid - ticketMargin)
-}
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -64,6 +64,10 @@
 	run      int64
 	failures tanagerwork.FailedRuns
 	saved    string
+	// kept is the room that is kept for the gang until it starts.
+	kept []candidate
+	// room is when it was last expected to be free.
+	room room
 	// broken marks the present run as ending: its members are being stopped.
 	broken bool
 }
--- a/tanager/tanagerdispatch/order.go
+++ b/tanager/tanagerdispatch/order.go
@@ -69,14 +69,20 @@
 	reserving := c.now.Sub(c.reservedAt) >= reserveInterval
 	if reserving {
 		c.reservedAt = c.now
-		c.clearReservations()
 	}
 	c.findUsable()
+	if reserving {
+		for _, w := range c.usable {
+			c.forecast(w)
+			w.yieldTo = nil
+		}
+	}
 	c.sortReady()
 	var asks []*step
 	gangs, hopeless := 0, 0
 	for _, s := range c.ready {
 		if s.rank.tier == useless {
+			c.dropReservation(s)
 			if hopeless++; hopeless > maxUseless {
 				break
 			}
@@ -87,19 +93,27 @@
 		if c.place(s) {
 			continue
 		}
-		ready := !s.spec.Gang
-		if s.spec.Gang && reserving && gangs < maxReservations {
-			gangs++
-			ready = len(s.advice.good) == 0 || c.reserve(s)
+		if !s.spec.Gang {
+			if c.wantsAdvice(s) {
+				asks = append(asks, s)
+			}
+			continue
 		}
-		if ready && c.wantsAdvice(s) {
-			asks = append(asks, s)
+		if reserving && gangs < c.reservationLimit() {
+			s.gang.room = c.reserve(s, gangs < c.aheadLimit())
+			if s.gang.room != roomNever {
+				gangs++
+			}
+			if s.gang.room != roomLater && c.mayAsk(s) {
+				asks = append(asks, s)
+			}
 		}
 	}
 	c.ask(asks)
 	c.ready = slices.DeleteFunc(c.ready, func(s *step) bool {
 		gone := s.pending == 0 || s.job.state.Final()
 		if gone {
+			c.dropReservation(s)
 			s.queued = false
 		}
 		return gone
@@ -114,16 +128,30 @@
 func (c *Cell) findUsable() {
 	c.usable = c.usable[:0]
 	for _, w := range c.workers {
-		if c.inUse(w) {
+		w.usable = c.inUse(w)
+		if w.usable {
 			c.usable = append(c.usable, w)
 		}
 	}
 	slices.SortFunc(c.usable, func(a, b *worker) int { return cmp.Compare(a.id, b.id) })
+	for i, w := range c.usable {
+		w.side = float64(i) / float64(len(c.usable))
+	}
 }
 
-// maxReservations bounds the waiting gangs that are asked about and that room is
-// kept for: those further back would leave room empty.
-const maxReservations = 6
+// Room is kept for one waiting gang for every workersPerReservation workers, and
+// for leastReservations: more would leave room empty for gangs far back.
+const (
+	workersPerReservation = 8
+	workersPerAhead       = 24
+	leastReservations     = 4
+)
+
+func (c *Cell) aheadLimit() int { return max(len(c.usable)/workersPerAhead, 1) }
+
+func (c *Cell) reservationLimit() int {
+	return max(len(c.usable)/workersPerReservation, leastReservations)
+}
 
 // reserveInterval spaces the reckoning of reservations, which costs more than a
 // placement; ends that matter for a gang are some tens of milliseconds apart.
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 	"time"
 
 	"tanagersail.example/tanager/tanagerwork"
@@ -52,7 +53,7 @@
 	var best *worker
 	var bestScore float64
 	held := s.spec.Held()
-	for _, w := range c.usable {
+	for _, w := range c.allowed(s) {
 		if !held.Within(w.free) || !c.eligible(w, s) || c.spreadLeft(s, w) < 1 || c.reserved(w, s) {
 			continue
 		}
@@ -66,8 +67,10 @@
 }
 
 func (c *Cell) score(w *worker, s *step, held tanagerwork.Resources) float64 {
-	left := float64(w.free.MilliCPU-held.MilliCPU) / float64(max(w.entry.Capacity.MilliCPU, 1))
-	return c.timeFactor(w, s) + fitWeight*left
+	if s.rank.urgent {
+		return c.timeFactor(w, s) + fitWeight*w.side
+	}
+	return fitWeight*c.timeFactor(w, s) + w.side
 }
 
 // timeFactor is how much longer than its estimate a task takes on a worker.
@@ -79,15 +82,27 @@
 	return factor
 }
 
-// eligible reports whether a usable worker may run tasks of a step now.
+// eligible reports whether a step's tasks may be started on a usable worker now.
 func (c *Cell) eligible(w *worker, s *step) bool {
-	if w.entry.Service != s.job.queue.config.Service {
+	if !w.usable || !c.suits(w, s) {
 		return false
 	}
-	if s.spec.Label != "" && !slices.Contains(w.entry.Labels, s.spec.Label) {
-		return false
+	return s.job.queue.config.Advice == nil || s.advice.ticket(w, c.now) != ""
+}
+
+// suits reports whether a worker has the service and the label that a step asks
+// for.
+func (c *Cell) suits(w *worker, s *step) bool {
+	return w.entry.Service == s.job.queue.config.Service &&
+		(s.spec.Label == "" || slices.Contains(w.entry.Labels, s.spec.Label))
+}
+
+// allowed returns the workers that a step may use, as far as is known.
+func (c *Cell) allowed(s *step) []*worker {
+	if s.job.queue.config.Advice != nil {
+		return s.advice.good
 	}
-	return s.job.queue.config.Advice == nil || s.advice.tickets[w.id] != ""
+	return c.usable
 }
 
 // inUse reports whether a worker may get new work.
@@ -119,7 +134,7 @@
 // placeGang starts all tasks of a gang, or none.
 func (c *Cell) placeGang(s *step) bool {
 	var found []candidate
-	for _, w := range c.usable {
+	for _, w := range c.allowed(s) {
 		if !c.eligible(w, s) || c.reserved(w, s) {
 			continue
 		}
@@ -136,11 +151,7 @@
 		return false
 	}
 	s.gang.broken = false
-	for _, w := range c.workers {
-		if w.reservedFor == s {
-			w.reservedFor = nil
-		}
-	}
+	c.dropReservation(s)
 	run := c.nextRun(s, 0)
 	index := 0
 	for _, k := range chosen {
@@ -200,7 +211,7 @@
 // fill takes candidates until count tasks have a place.
 func fill(found []candidate, count int) []candidate {
 	slices.SortFunc(found, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.factor, b.factor), cmp.Compare(b.copies, a.copies), cmp.Compare(a.worker.id, b.worker.id))
+		return cmp.Or(cmp.Compare(speedClass(a.factor), speedClass(b.factor)), cmp.Compare(b.copies, a.copies), cmp.Compare(b.worker.side, a.worker.side), cmp.Compare(a.worker.id, b.worker.id))
 	})
 	var chosen []candidate
 	for _, k := range found {
@@ -214,105 +225,243 @@
 	return nil
 }
 
-func (c *Cell) clearReservations() {
-	for _, w := range c.workers {
-		w.reservedFor = nil
-	}
-}
-
 // reserved reports whether a worker's room is kept for a gang that comes before
 // the step, and the step would neither leave it enough nor be done by the time
 // the gang needs it.
 func (c *Cell) reserved(w *worker, s *step) bool {
+	if w.yieldTo != nil && !s.spec.Gang && !s.rank.urgent && w.yieldTo.rank.compare(s.rank) < 0 {
+		ends := c.now.Add(time.Duration(backfillSafety * float64(s.spec.Estimate) * c.timeFactor(w, s)))
+
+		if ends.After(w.yieldUntil) {
+
+			return true
+		}
+	}
 	if w.reservedFor == nil || w.reservedFor == s {
 		return false
 	}
 	if s.spec.Held().Add(w.reservedRoom).Within(w.free) {
 		return false
 	}
-	ends := c.now.Add(time.Duration(float64(s.spec.Estimate) * c.timeFactor(w, s)))
+	ends := c.now.Add(time.Duration(backfillSafety * float64(s.spec.Estimate) * c.timeFactor(w, s)))
 	return s.spec.Lasting || ends.After(w.reservedUntil)
 }
 
-// release is an attempt's expected end.
-type release struct {
-	attempt *attempt
-	at      time.Duration
-}
+// backfillSafety times its estimate a task must end before the gang needs the
+// room: estimates are off by half as a rule.
+const backfillSafety = 1.5
+
+// keepGrace is how long after its expected time a reservation is kept before
+// other workers are looked for.
+const keepGrace = 300 * time.Millisecond
 
-// reserve keeps room for a gang that does not fit yet: it finds the time at
+// room tells when a gang can start.
+type room uint8
+
+const (
+	// roomNever: the workers that are known to be good are too few or too small.
+	roomNever room = iota
+	// roomFar: it takes longer than asking about other workers.
+	roomFar
+	// roomLater: once what runs there, or other gangs, have ended.
+	roomLater
+	// roomNow: it is free, and is kept for the gang.
+	roomNow
+)
+
+// reserve keeps room for a gang that has not started yet: it finds the time at
 // which enough of what runs on its workers will have ended, and keeps later work
 // off those workers unless that ends before (EASY backfilling; Lifka, "The
 // ANL/IBM SP scheduling system", 1995). Without it small tasks take each gap and
-// a gang never finds its room at one moment. It reports whether the gang fits
-// now.
-func (c *Cell) reserve(s *step) bool {
-	room := make(map[*worker]tanagerwork.Resources)
-	var releases []release
-	for _, w := range c.usable {
-		if !c.gangWorker(w, s) {
+// a gang never finds its room at one moment. The time is never moved back, as
+// that would let small tasks in again.
+func (c *Cell) reserve(s *step, ahead bool) room {
+
+	if len(s.gang.kept) > 0 && c.keptFits(s) || c.reserveAt(s, 0) {
+
+		return roomNow
+	}
+	if len(s.gang.kept) > 0 {
+		if c.keptValid(s) {
+			return c.laterOrFar(s, s.gang.kept[0].worker.reservedUntil.Sub(c.now))
+		}
+		c.dropReservation(s)
+	}
+	if !c.everFits(s, 1) {
+
+		return roomNever
+	}
+	times := c.releaseTimes(s)
+	first := sort.Search(len(times), func(i int) bool { return c.roomAt(s, times[i]) != nil })
+	if first == len(times) {
+
+		return c.laterOrFar(s, farFuture)
+	}
+
+	if ahead {
+
+		for _, w := range c.allowed(s) {
+			w.yieldTo = s
+			w.yieldUntil = c.now.Add(times[first])
+		}
+	}
+	return c.laterOrFar(s, times[first])
+}
+
+// releaseTimes returns when room becomes free on a gang's workers, in order.
+func (c *Cell) releaseTimes(s *step) []time.Duration {
+	var times []time.Duration
+	for _, w := range c.allowed(s) {
+		if !w.usable || w.reservedFor != nil {
 			continue
 		}
-		room[w] = w.free
-		for a := range w.attempts {
-			releases = append(releases, release{
-				attempt: a,
-				at:      c.remaining(a),
-			})
+		for _, r := range w.releases {
+			if r.at > 0 && r.at < farFuture {
+				times = append(times, r.at)
+			}
 		}
 	}
-	slices.SortFunc(releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
-	held := s.spec.Held()
-	total := 0
-	for w, free := range room {
-		total += held.Copies(free, c.spreadLeft(s, w))
+	slices.Sort(times)
+	return slices.Compact(times)
+}
+
+// enoughChoice times its size is the room on a gang's good workers that makes
+// asking about others not worth a call.
+const enoughChoice = 3
+
+// laterOrFar compares a wait with the time that a call for advice takes.
+func (c *Cell) laterOrFar(s *step, wait time.Duration) room {
+	if p := s.job.queue.config.Advice; p != nil && wait > p.Decision && !c.everFits(s, enoughChoice) {
+		return roomFar
 	}
-	at := time.Duration(0)
-	for _, r := range releases {
-		if total >= len(s.tasks) {
-			break
+	return roomLater
+}
+
+// keptFits reports whether all the room that is kept for a gang is free.
+func (c *Cell) keptFits(s *step) bool {
+	for _, k := range s.gang.kept {
+		if !k.worker.usable || !k.worker.reservedRoom.Within(k.worker.free) {
+			return false
 		}
-		w := r.attempt.worker
-		before := held.Copies(room[w], c.spreadLeft(s, w))
-		room[w] = room[w].Add(r.attempt.step.spec.Held())
-		total += held.Copies(room[w], c.spreadLeft(s, w)) - before
-		at = r.at
 	}
-	if total < len(s.tasks) {
-		return false
+	return true
+}
+
+// keptValid reports whether a reservation may still come true.
+func (c *Cell) keptValid(s *step) bool {
+	for _, k := range s.gang.kept {
+		if !k.worker.usable || c.now.Sub(k.worker.reservedUntil) > keepGrace {
+			return false
+		}
 	}
-	return c.markReserved(s, room, c.now.Add(at)) && at == 0
+	return true
+}
+
+func (c *Cell) dropReservation(s *step) {
+	for _, k := range s.gang.kept {
+		if k.worker.reservedFor == s {
+			k.worker.reservedFor = nil
+		}
+	}
+	s.gang.kept = nil
 }
 
-// markReserved keeps the room and reports whether there is enough beside that of
-// other gangs.
-func (c *Cell) markReserved(s *step, room map[*worker]tanagerwork.Resources, until time.Time) bool {
+// everFits reports whether a gang has room on its workers, several times over,
+// when they are empty.
+func (c *Cell) everFits(s *step, times int) bool {
+	total := 0
+	for _, w := range c.allowed(s) {
+		if w.usable && c.suits(w, s) {
+			total += s.spec.Held().Copies(w.entry.Capacity, c.spreadLeft(s, w))
+		}
+	}
+	return total >= times*len(s.tasks)
+}
+
+// roomAt returns workers with room for a gang after a time, nil if they do not
+// suffice.
+func (c *Cell) roomAt(s *step, at time.Duration) []candidate {
 	var found []candidate
-	for w, free := range room {
-		if n := s.spec.Held().Copies(free, c.spreadLeft(s, w)); n > 0 && w.reservedFor == nil {
-			found = append(found, candidate{
-				worker: w,
-				copies: n,
-				factor: c.timeFactor(w, s),
-			})
+	total := 0
+	for _, w := range c.allowed(s) {
+		if !w.usable || !c.suits(w, s) || w.reservedFor != nil && w.reservedFor != s {
+			continue
 		}
+		n := s.spec.Held().Copies(w.freeAfter(at), c.spreadLeft(s, w))
+		if n == 0 {
+			continue
+		}
+		total += n
+		found = append(found, candidate{
+			worker: w,
+			copies: n,
+			factor: c.timeFactor(w, s),
+		})
 	}
-	chosen := fill(found, len(s.tasks))
-	for _, k := range chosen {
+	if total < len(s.tasks) {
+		return nil
+	}
+	return found
+}
+
+// reserveAt keeps the room that will be free after a time, if that suffices.
+func (c *Cell) reserveAt(s *step, at time.Duration) bool {
+	found := c.roomAt(s, at)
+	if found == nil {
+		return false
+	}
+	c.dropReservation(s)
+	s.gang.kept = fill(found, len(s.tasks))
+	for _, k := range s.gang.kept {
 		k.worker.reservedFor = s
 		k.worker.reservedRoom = s.spec.Held().Times(k.copies)
-		k.worker.reservedUntil = until
+		k.worker.reservedUntil = c.now.Add(at)
 	}
-	return chosen != nil
+	return true
 }
 
-// gangWorker reports whether a worker is known to be allowed for a gang.
-func (c *Cell) gangWorker(w *worker, s *step) bool {
-	if w.entry.Service != s.job.queue.config.Service {
-		return false
+// release is the room of a worker after an attempt's expected end.
+type release struct {
+	at   time.Duration
+	free tanagerwork.Resources
+}
+
+// forecast notes when the worker's attempts are expected to end.
+func (c *Cell) forecast(w *worker) {
+	w.releases = w.releases[:0]
+	for a := range w.attempts {
+		w.releases = append(w.releases, release{
+			at:   c.remaining(a),
+			free: a.step.spec.Held(),
+		})
 	}
-	if s.spec.Label != "" && !slices.Contains(w.entry.Labels, s.spec.Label) {
-		return false
+	slices.SortFunc(w.releases, func(a, b release) int { return cmp.Compare(a.at, b.at) })
+	free := w.free
+	for i := range w.releases {
+		free = free.Add(w.releases[i].free)
+		w.releases[i].free = free
 	}
-	return s.job.queue.config.Advice == nil || s.advice.good[w.id]
 }
+
+// freeAfter returns the room that the forecast shows after a time.
+func (w *worker) freeAfter(at time.Duration) tanagerwork.Resources {
+	free := w.free
+	if at == 0 {
+		return free
+	}
+	for _, r := range w.releases {
+		if r.at > at {
+			break
+		}
+		free = r.free
+	}
+	return free
+}
+
+// speedClass rounds a time factor, so that small differences do not scatter a
+// gang over many workers.
+func speedClass(factor float64) int { return int(factor / speedClassWidth) }
+
+// speedClassWidth is the difference in speed that is worth more workers: a third
+// is what the slower half of a fleet commonly lacks.
+const speedClassWidth = 0.34
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -73,7 +73,7 @@
 			Deadline:   a.worker.extend(c.now, c.settings.Lease),
 			Epoch:      c.epoch,
 			Checkpoint: s.checkpoint(a.index),
-			Ticket:     s.advice.tickets[a.worker.id],
+			Ticket:     s.advice.ticket(a.worker, c.now),
 		},
 	})
 }
@@ -132,7 +132,7 @@
 	case tanagerport.Fenced:
 		c.fenced(epoch)
 	case tanagerport.TicketRejected:
-		a.step.advice.expire()
+		a.step.advice.forget(a.worker)
 	case tanagerport.Unhealthy:
 		a.worker.health.avoidUntil = c.now.Add(unhealthyPause)
 	case tanagerport.OtherLife:
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -42,12 +42,21 @@
 	seen, acknowledged int64
 	acks               []ack
 	leavesAt           time.Time
-	health             health
+	// usable is whether the worker may get new work, as of the last tick.
+	usable bool
+	// side is the worker's place between the end of the fleet that is filled
+	// with single tasks first, 0, and the one where gangs are placed first, 1.
+	side float64
+	// releases is the forecast of the last reckoning of reservations.
+	releases []release
+	health   health
 	// reservedFor is the gang that waits for reservedRoom on this worker, which
 	// will be free at reservedUntil.
 	reservedFor   *step
 	reservedRoom  tanagerwork.Resources
 	reservedUntil time.Time
+	yieldTo       *step
+	yieldUntil    time.Time
 }
 
 type ack struct {
--- a/tanager/tanagerreplay/load.go
+++ b/tanager/tanagerreplay/load.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -143,6 +144,26 @@
 	}
 }
 
+// Grown returns a load on a fleet several times as large, with wider steps.
+func Grown(l Load) Load {
+	l.Workers = 350
+	l.RackSize = 12
+	l.Advisers = 38
+	rates := []float64{5.96, 12.3, 110}
+	widths := []float64{20, 25, 3.2}
+	cpu := []float64{1, 1.77, 1.77}
+	l.Kinds = slices.Clone(l.Kinds)
+	for i := range l.Kinds {
+		k := &l.Kinds[i]
+		k.PerSecond = rates[i]
+		k.WidthMost = int(float64(k.WidthMost) * widths[i] / k.Width)
+		k.Width = widths[i]
+		k.MilliCPU *= cpu[i]
+		k.MemoryMB *= cpu[i]
+	}
+	return l
+}
+
 // Dispatching is the load of a dispatching service with small workers: the same
 // shape as Ladder, with tasks a quarter of the size and wilder estimates.
 func Dispatching() Load {
@@ -282,6 +303,19 @@
 	if index > 0 {
 		s.After = []int{index - 1}
 	}
+	good := make([]bool, l.Workers)
+	room := 0
+	for i := range good {
+		good[i] = k.Queue.Advice == nil || r.Float64() < k.GoodShare
+		if good[i] {
+			room += s.Need.Copies(l.Capacity, width)
+		}
+	}
+	// A gang that its workers cannot hold with some to spare is not handed in.
+	if gang {
+		width = max(min(width, room*2/3), 1)
+		s.Count = width
+	}
 	works := make([]time.Duration, width)
 	fails := make([]int, width)
 	for i := range width {
@@ -290,10 +324,6 @@
 			fails[i]++
 		}
 	}
-	good := make([]bool, l.Workers)
-	for i := range good {
-		good[i] = k.Queue.Advice == nil || r.Float64() < k.GoodShare
-	}
 	a.work = append(a.work, works)
 	a.fails = append(a.fails, fails)
 	a.good = append(a.good, good)
--- a/tanager/tanagerreplay/play.go
+++ b/tanager/tanagerreplay/play.go
@@ -71,11 +71,12 @@
 }
 
 type simRun struct {
-	order   tanagerdispatch.StartOrder
-	job     *arrival
-	began   time.Time
-	percent int
-	gang    *simGang
+	order tanagerdispatch.StartOrder
+	job   *arrival
+	began time.Time
+	// length is how long the run will work, 0 until it does.
+	length time.Duration
+	gang   *simGang
 }
 
 type simGang struct {
@@ -351,7 +352,16 @@
 	}
 }
 
+// percent is how far a run is.
+func (r *simRun) percent(now time.Time) int {
+	if r.length == 0 {
+		return 0
+	}
+	return int(100 * now.Sub(r.began) / r.length)
+}
+
 func (p *player) schedule(run *simRun, after time.Duration) {
+	run.length = after
 	p.at(p.now.Add(after), func() {
 		w := p.workers[run.order.Worker.ID]
 		if w.runs[run.order.Start.Task] != run {
@@ -450,7 +460,7 @@
 		report.Running = append(report.Running, tanagerport.RunningRow{
 			Task:    t,
 			Run:     run.order.Start.Run,
-			Percent: int(p.now.Sub(run.began) / time.Millisecond),
+			Percent: run.percent(p.now),
 		})
 	}
 	p.sched.PollAnswered(p.now, o, w.sent, report, nil)
--- a/tanager/tanagerreplay/replay_test.go
+++ b/tanager/tanagerreplay/replay_test.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// A fleet several times as large with wide gangs.
+func TestGrownLoad(t *testing.T) {
+	smart, plain := both(t, Grown(Ladder()))
+	check(t, smart)
+	qt.New(t).Check(smart.Worth() > plain.Worth(), qt.IsTrue)
+}
+
 func BenchmarkOverload(b *testing.B) {
 	l := Ladder()
 	l.Duration = 20 * time.Second
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -76,7 +76,7 @@
 	forwards  map[uint64]chan tanagerport.Reply
 	// resets are the last resets of connections, by member.
 	resets map[string]time.Time
-	asked     uint64
+	asked  uint64
 	// desk serves what other daemons forward.
 	desk *Desk
 }
