Extend no lease by unanswered polls; replace a scheduler whose process is gone

After a kill the scheduler's key was waited out for two seconds. Jobs were turned away while a fifth of the fleet was free.

Change: no deadline after a miss; a peer whose port refuses or whose process is another one counts as gone; queues close only above 92% use.

The test fails with the deadline put back.

--- a/tanager/tanagerdispatch/admit.go
+++ b/tanager/tanagerdispatch/admit.go
@@ -23,6 +23,9 @@
 	// usableShare of the fleet's capacity is what placement fills under load;
 	// the rest is lost to sizes that do not fit together.
 	usableShare = 0.85
+	// Below fullShare no job is turned away: what waits then waits for other
+	// things than capacity.
+	fullShare = 0.92
 	// waitShare of a queue's slack may be spent waiting for room; the rest is
 	// for wrong estimates, failed runs and slow workers.
 	waitShare = 0.4
@@ -69,7 +72,7 @@
 	}
 	h.Wait = time.Duration(work / capacity * float64(time.Second))
 	limit := time.Duration(waitShare * float64(q.slack))
-	if q.slack == 0 || h.Wait <= limit {
+	if q.slack == 0 || h.Wait <= limit || c.used(q.config.Service) < fullShare {
 		return h
 	}
 	h.Closed = true
@@ -114,6 +117,17 @@
 	return float64(s.Need.MilliCPU) / 1000 * s.Estimate.Seconds()
 }
 
+// used returns the share of a service's usable capacity that is taken.
+func (c *Cell) used(service string) float64 {
+	taken := 0.0
+	for _, w := range c.workers {
+		if w.entry.Service == service && c.inUse(w) {
+			taken += float64(w.entry.Capacity.MilliCPU-w.free.MilliCPU) / 1000
+		}
+	}
+	return taken / max(c.capacity(service), 1)
+}
+
 // capacity returns the cores of the workers of a service that are in use.
 func (c *Cell) capacity(service string) float64 {
 	total := int64(0)
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -70,7 +70,7 @@
 	if s.rank.urgent {
 		return c.timeFactor(w, s) + fitWeight*w.side
 	}
-	return fitWeight*c.timeFactor(w, s) + w.side
+	return c.timeFactor(w, s) + 0.5*w.side
 }
 
 // timeFactor is how much longer than its estimate a task takes on a worker.
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -266,16 +266,17 @@
 }
 
 // poll makes the next poll of a worker. The first one of a life or an epoch asks
-// for an answer at once.
+// for an answer at once. A worker that left the last one unanswered gets no
+// longer lease: each would move the time at which its runs are given up.
 func (c *Cell) poll(w *worker) tanagerport.Poll {
 	p := tanagerport.Poll{
 		Epoch:        c.epoch,
 		Acknowledged: c.acknowledge(w),
 	}
-	if w.clock > 0 {
+	if w.clock > 0 && w.misses == 0 {
 		p.Deadline = w.extend(c.now, c.settings.Lease)
 	}
-	if w.synced {
+	if w.synced && w.misses == 0 {
 		p.Wait = pollWait
 	}
 	return p
--- /dev/null
+++ b/tanager/tanagerdispatch/worker_test.go
@@ -0,0 +1,165 @@
+package tanagerdispatch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// bench drives a cell by hand.
+type bench struct {
+	c    *qt.C
+	cell *Cell
+	now  time.Time
+	// clock is the workers' clock at now.
+	clock time.Duration
+	out   Orders
+}
+
+const (
+	testQueue   = "q"
+	testService = "pool"
+)
+
+func testSettings() Settings {
+	return Settings{
+		Lease:        5 * time.Second,
+		StopGrace:    900 * time.Millisecond,
+		Retention:    time.Minute,
+		RemoteFactor: 1.5,
+	}
+}
+
+func newBench(t *testing.T, epoch uint64) *bench {
+	b := &bench{
+		c:     qt.New(t),
+		now:   time.Unix(1_700_000_000, 0),
+		clock: time.Hour,
+	}
+	b.cell = New(testSettings(), epoch, b.now)
+	b.cell.Configure(tanagerport.Configuration{
+		Queues: []tanagerport.Queue{{
+			Name:        testQueue,
+			Service:     testService,
+			MaxAttempts: 3,
+			Stretch:     4,
+			Slack:       3 * time.Second,
+		}},
+	})
+	return b
+}
+
+func testWorker(id string, life int64) tanagerport.WorkerEntry {
+	return tanagerport.WorkerEntry{
+		ID:      id,
+		Life:    life,
+		Service: testService,
+		Capacity: tanagerwork.Resources{
+			MilliCPU: 4000,
+			MemoryMB: 4000,
+		},
+	}
+}
+
+func (b *bench) workers(entries ...tanagerport.WorkerEntry) {
+	b.cell.SetWorkers(b.now, entries)
+	ids, _ := b.cell.Roster()
+	b.cell.RosterStored(ids)
+}
+
+func testRecord(id string, steps ...tanagerwork.Step) tanagerwork.Record {
+	return tanagerwork.Record{
+		ID:      tanagerwork.JobID("00000000000000" + id),
+		Queue:   testQueue,
+		Service: testService,
+		Arrived: time.Unix(1_700_000_000, 0),
+		Spec:    tanagerwork.Spec{Steps: steps},
+	}
+}
+
+func testStep(count int, cpu int64) tanagerwork.Step {
+	return tanagerwork.Step{
+		Count:    count,
+		Need:     tanagerwork.Resources{MilliCPU: cpu},
+		Estimate: time.Second,
+	}
+}
+
+// tick moves the time, runs the systems and keeps the orders.
+func (b *bench) tick(d time.Duration) Orders {
+	b.now = b.now.Add(d)
+	b.clock += d
+	b.cell.Tick(b.now)
+	b.out = b.cell.TakeOrders()
+	return b.out
+}
+
+// answer answers the polls of the last tick with the same report.
+func (b *bench) answer(r tanagerport.Report) {
+	for _, o := range b.out.Polls {
+		b.report(o, r)
+	}
+}
+
+func (b *bench) report(o PollOrder, r tanagerport.Report) {
+	r.Verdict = tanagerport.Accepted
+	r.Clock = b.clock
+	r.Whole = true
+	if r.Life == 0 {
+		r.Life = o.Worker.Life
+	}
+	b.cell.PollAnswered(b.now, o, b.now, r, nil)
+}
+
+// sync lets all workers answer their first poll.
+func (b *bench) sync() {
+	b.tick(time.Millisecond)
+	b.answer(tanagerport.Report{})
+}
+
+func (b *bench) accept(o StartOrder) {
+	b.cell.StartAnswered(b.now, o, tanagerport.Answer{
+		Verdict: tanagerport.Accepted,
+		Clock:   b.clock,
+	}, nil)
+}
+
+// A worker that answers nothing any more must lose its runs once its lease has
+// run out; polls that it does not answer must not put that off.
+func TestSilentWorkerLosesItsRuns(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	b.cell.AddJob(b.now, testRecord("01", testStep(1, 1000)), nil)
+	starts := b.tick(20 * time.Millisecond).Starts
+	b.c.Assert(starts, qt.HasLen, 1)
+	b.accept(starts[0])
+	b.workers(testWorker("a", 1), testWorker("b", 1))
+	restarted := 0
+	var running []tanagerport.RunningRow
+	for range 80 {
+		b.tick(100 * time.Millisecond)
+		for _, o := range b.out.Polls {
+			if o.Worker.ID == "b" {
+				b.report(o, tanagerport.Report{Running: running})
+				continue
+			}
+			b.cell.PollAnswered(b.now, o, b.now, tanagerport.Report{}, tanagerport.Unanswered.New("silent"))
+		}
+		for _, s := range b.out.Starts {
+			restarted++
+			b.c.Check(s.Worker.ID, qt.Equals, "b")
+			b.c.Check(b.now.Sub(time.Unix(1_700_000_000, 0)) > testSettings().Lease, qt.IsTrue)
+			b.accept(s)
+			running = append(running, tanagerport.RunningRow{
+				Task: s.Start.Task,
+				Run:  s.Start.Run,
+			})
+		}
+	}
+	b.c.Assert(restarted, qt.Equals, 1)
+}
--- a/tanager/tanagerpeer/link.go
+++ b/tanager/tanagerpeer/link.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/coder/websocket"
@@ -51,17 +53,19 @@
 
 func (l *link) run() {
 	defer l.abandon()
-	connection, err := l.dial()
+	connection, gone, err := l.dial()
 	if err == nil {
 		l.serve(connection)
 	}
 	l.transport.drop(l)
 	l.close()
 	l.returnUnsent()
-	l.reportLost()
+	l.reportLost(gone)
 }
 
-func (l *link) dial() (*websocket.Conn, error) {
+// dial opens the connection. It also reports whether the peer's process has
+// certainly ended.
+func (l *link) dial() (connection *websocket.Conn, gone bool, err error) {
 	ctx, cancel := context.WithTimeout(l.ctx, l.transport.settings.DialTimeout)
 	defer cancel()
 	header := http.Header{}
@@ -76,7 +80,8 @@
 	if response != nil && response.Body != nil {
 		defer response.Body.Close()
 	}
-	return connection, err
+	gone = errors.Is(err, syscall.ECONNREFUSED) || response != nil && response.StatusCode == http.StatusConflict
+	return connection, gone, err
 }
 
 // serve writes queued messages until the connection fails.
@@ -120,8 +125,11 @@
 	}
 }
 
-func (l *link) reportLost() {
+func (l *link) reportLost(gone bool) {
 	m := message.NewMessage("", nil)
+	if gone {
+		m.Metadata.Set(GoneKey, "true")
+	}
 	m.Metadata.Set(TopicKey, LostTopic)
 	m.Metadata.Set(FromKey, l.to)
 	l.transport.deliver(m)
--- a/tanager/tanagerpeer/transport.go
+++ b/tanager/tanagerpeer/transport.go
@@ -35,6 +35,9 @@
 	FromKey   = "from"
 	ToKey     = "to"
 	UnsentKey = "unsent"
+	// GoneKey is set on a LostTopic message if the peer's process has certainly
+	// ended: its port refuses, or another process answers there.
+	GoneKey = "gone"
 )
 
 // AllTopics is the topic to subscribe to: all messages arrive on one channel,
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -63,6 +63,8 @@
 	lastRemoval time.Time
 	lastLoad    time.Time
 
+	// gone is a scheduler whose process has ended, whatever the store says.
+	gone      string
 	standAt   time.Time
 	standing  bool
 	renewedAt time.Time
@@ -257,12 +259,13 @@
 
 // considerStanding stands for election once nobody holds the key for a time.
 func (c *control) considerStanding(now time.Time) {
-	if !c.lead.known || c.stopping || c.standing || c.lead.holder.Member != "" {
+	vacant := c.lead.holder.Member == "" || c.lead.holder.Member == c.gone
+	if !c.lead.known || c.stopping || c.standing || !vacant {
 		return
 	}
 	if c.standAt.IsZero() {
 		c.standAt = now.Add(standDelay(c.settings.Weight, c.random))
-		if c.cell == nil && now.Sub(c.hintsAt) < memberTimeout {
+		if c.cell == nil && c.gone == "" && now.Sub(c.hintsAt) < memberTimeout {
 			c.standAt = c.standAt.Add(incumbentHeadStart)
 		}
 	}
@@ -325,8 +328,9 @@
 func (c *control) leadChanged() {
 	c.log.Info().Str("event", "lead_changed").Str("scheduler", c.lead.holder.Member).
 		Uint64("epoch", c.lead.epoch).Int64("revision", c.lead.epochRevision).Send()
-	if c.lead.holder.Member != "" {
+	if c.lead.holder.Member != "" && c.lead.holder.Member != c.gone {
 		c.standAt = time.Time{}
+		c.gone = ""
 	}
 	switch {
 	case c.cell != nil && c.lead.epoch > c.cell.Epoch() && c.leading() && c.lead.epoch == c.cell.Epoch()+1 && !c.loading:
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -22,7 +22,7 @@
 	var err error
 	switch topic {
 	case tanagerpeer.LostTopic:
-		c.log.Debug().Str("event", "link_lost").Str("daemon", from).Send()
+		c.linkLost(from, m.Metadata.Get(tanagerpeer.GoneKey) != "")
 	case topicHello:
 		err = handle(m, func(h hello) { c.heard(from, h) })
 	case topicHints:
@@ -49,6 +49,17 @@
 	}
 }
 
+// linkLost notes that a connection broke. If the scheduler's process has ended,
+// nobody waits for its key to lapse.
+func (c *control) linkLost(from string, gone bool) {
+	c.log.Debug().Str("event", "link_lost").Str("member", from).Bool("gone", gone).Send()
+	if gone && from == c.lead.holder.Member && from != c.gone {
+		c.gone = from
+		c.standAt = time.Time{}
+		c.log.Info().Str("event", "scheduler_gone").Str("member", from).Uint64("epoch", c.lead.epoch).Send()
+	}
+}
+
 func handle[T any](m *message.Message, f func(T)) error {
 	var payload T
 	if err := tanagerwire.Decode(m.Payload, &payload); err != nil {
