Make the test of a silent worker fail with the mechanism taken out

The second poll of the worker was never answered in the test, so no further one was sent.

Change: its polls go unanswered with an error, as the client returns them.

--- a/tanager/tanagerdispatch/worker_test.go
+++ b/tanager/tanagerdispatch/worker_test.go
@@ -115,6 +115,15 @@
 	b.cell.PollAnswered(b.now, o, b.now, r, nil)
 }
 
+// silence lets the polls of a worker go unanswered.
+func (b *bench) silence(id string) {
+	for _, o := range b.out.Polls {
+		if o.Worker.ID == id {
+			b.cell.PollAnswered(b.now, o, b.now, tanagerport.Report{}, tanagerport.Unanswered.New("silent"))
+		}
+	}
+}
+
 // sync lets all workers answer their first poll.
 func (b *bench) sync() {
 	b.tick(time.Millisecond)
@@ -138,6 +147,7 @@
 	starts := b.tick(20 * time.Millisecond).Starts
 	b.c.Assert(starts, qt.HasLen, 1)
 	b.accept(starts[0])
+	b.silence("a")
 	b.workers(testWorker("a", 1), testWorker("b", 1))
 	restarted := 0
 	var running []tanagerport.RunningRow
@@ -146,10 +156,9 @@
 		for _, o := range b.out.Polls {
 			if o.Worker.ID == "b" {
 				b.report(o, tanagerport.Report{Running: running})
-				continue
 			}
-			b.cell.PollAnswered(b.now, o, b.now, tanagerport.Report{}, tanagerport.Unanswered.New("silent"))
 		}
+		b.silence("a")
 		for _, s := range b.out.Starts {
 			restarted++
 			b.c.Check(s.Worker.ID, qt.Equals, "b")
