--- /dev/null
+++ b/tanager/tanagerdispatch/rules_test.go
@@ -0,0 +1,397 @@
+package tanagerdispatch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+func gangStep(count int, cpu int64) tanagerwork.Step {
+	s := testStep(count, cpu)
+	s.Gang = true
+	return s
+}
+
+// add hands a job in and returns the starts of the next tick.
+func (b *bench) add(r tanagerwork.Record) []StartOrder {
+	b.cell.AddJob(b.now, r, nil)
+	return b.tick(20 * time.Millisecond).Starts
+}
+
+// ends lets a worker list ends, numbered from first.
+func (b *bench) ends(worker string, first int64, how tanagerport.How, starts ...StartOrder) {
+	var rows []tanagerport.EndedRow
+	for i, s := range starts {
+		rows = append(rows, tanagerport.EndedRow{
+			Number: first + int64(i),
+			Task:   s.Start.Task,
+			Run:    s.Start.Run,
+			How:    how,
+		})
+	}
+	b.cell.PollAnswered(b.now, PollOrder{Worker: b.cell.workers[worker].ref()}, b.now, tanagerport.Report{
+		Answer: tanagerport.Answer{
+			Verdict: tanagerport.Accepted,
+			Clock:   b.clock,
+		},
+		Life:  1,
+		Ended: rows,
+		// Whole is left out: the report says nothing of other runs.
+	}, nil)
+}
+
+// store writes all progress.
+func (b *bench) store() {
+	for _, s := range b.cell.Unwritten(100) {
+		b.cell.Written(s.Job, s.Version, true)
+	}
+}
+
+func TestNoWorkerIsGivenMoreThanItHolds(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	starts := b.add(testRecord("01", testStep(9, 1500)))
+	b.c.Assert(starts, qt.HasLen, 2)
+	for _, s := range starts {
+		b.accept(s)
+	}
+	b.c.Assert(b.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
+	b.ends("a", 1, tanagerport.EndedDone, starts[0])
+	b.c.Assert(b.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
+}
+
+// A run that is being stopped takes room until its end is listed.
+func TestStoppedRunTakesRoomUntilItsEnd(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	starts := b.add(testRecord("01", testStep(1, 4000)))
+	b.accept(starts[0])
+	b.cell.CancelJob(starts[0].Start.Task.Job)
+	out := b.tick(20 * time.Millisecond)
+	b.c.Assert(out.Stops, qt.HasLen, 1)
+	b.cell.StopAnswered(b.now, out.Stops[0], tanagerport.Answer{Verdict: tanagerport.Accepted}, nil)
+	b.c.Assert(b.add(testRecord("02", testStep(1, 1000))), qt.HasLen, 0)
+	b.ends("a", 1, tanagerport.EndedStopped, starts[0])
+	b.c.Assert(b.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
+}
+
+// A run that no attempt stands for takes room, and is stopped.
+func TestStrayRunTakesRoom(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.tick(time.Millisecond)
+	b.answer(tanagerport.Report{Running: []tanagerport.RunningRow{{
+		Task: tanagerwork.TaskName{StepName: tanagerwork.StepName{Job: "00000000000000ff"}},
+		Run:  1,
+	}}})
+	starts := b.add(testRecord("01", testStep(1, 1000)))
+	b.c.Assert(starts, qt.HasLen, 0)
+	b.c.Assert(b.out.Stops, qt.HasLen, 1)
+}
+
+func TestStepsWaitForThoseBefore(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	second := testStep(1, 500)
+	second.After = []int{0}
+	first := b.add(testRecord("01", testStep(2, 500), second))
+	b.c.Assert(first, qt.HasLen, 2)
+	b.ends("a", 1, tanagerport.EndedDone, first[0])
+	b.c.Assert(b.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
+	b.ends("a", 2, tanagerport.EndedDone, first[1])
+	starts := b.tick(20 * time.Millisecond).Starts
+	b.c.Assert(starts, qt.HasLen, 1)
+	b.c.Assert(starts[0].Start.Task.Step, qt.Equals, 1)
+}
+
+// An unanswered start is sent again as the same run, and stopped after that;
+// nothing else starts the task before the worker has settled it.
+func TestUnansweredStartIsSettledByTheWorker(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1), testWorker("b", 1))
+	b.sync()
+	first := b.add(testRecord("01", testStep(1, 1000)))[0]
+	silent := tanagerport.Unanswered.New("silent")
+	b.cell.StartAnswered(b.now, first, tanagerport.Answer{}, silent)
+	again := b.tick(20 * time.Millisecond).Starts
+	b.c.Assert(again, qt.HasLen, 1)
+	b.c.Assert(again[0].Start.Run, qt.Equals, first.Start.Run)
+	b.c.Assert(again[0].Worker, qt.Equals, first.Worker)
+	b.cell.StartAnswered(b.now, again[0], tanagerport.Answer{}, silent)
+	out := b.tick(20 * time.Millisecond)
+	b.c.Assert(out.Starts, qt.HasLen, 0)
+	b.c.Assert(out.Stops, qt.HasLen, 1)
+	b.cell.StopAnswered(b.now, out.Stops[0], tanagerport.Answer{Verdict: tanagerport.Accepted}, nil)
+	// A poll that was asked for before the stop was answered proves nothing.
+	asked := b.now.Add(-time.Millisecond)
+	w := b.cell.workers[first.Worker.ID]
+	whole := tanagerport.Report{
+		Answer: tanagerport.Answer{
+			Verdict: tanagerport.Accepted,
+			Clock:   b.clock,
+		},
+		Life:  1,
+		Whole: true,
+	}
+	b.cell.PollAnswered(b.now, PollOrder{Worker: w.ref()}, asked, whole, nil)
+	b.c.Assert(b.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
+	b.cell.PollAnswered(b.now, PollOrder{Worker: w.ref()}, b.now, whole, nil)
+	starts := b.tick(20 * time.Millisecond).Starts
+	b.c.Assert(starts, qt.HasLen, 1)
+	b.c.Assert(starts[0].Start.Run > first.Start.Run, qt.IsTrue)
+}
+
+// Ends come again, in any order, to a new scheduler; each counts once, and the
+// job fails with the last of its attempts.
+func TestFailedRunsCountOnce(t *testing.T) {
+	for _, order := range [][]int64{{1, 2, 3}, {3, 1, 2}, {3, 3, 2, 2, 1}} {
+		b := newBench(t, 2)
+		b.workers(testWorker("a", 1), testWorker("b", 1))
+		b.sync()
+		r := testRecord("01", testStep(1, 1000))
+		b.cell.AddJob(b.now, r, nil)
+		failed := 0
+		for i, run := range order {
+			b.ends("a", int64(i+1), tanagerport.EndedFailed, StartOrder{Start: tanagerport.Start{
+				Task: tanagerwork.TaskName{StepName: tanagerwork.StepName{Job: r.ID}},
+				Run:  run,
+			}})
+			if b.cell.jobs[r.ID].state == tanagerwork.Failed {
+				failed = i + 1
+				break
+			}
+		}
+		b.c.Check(failed, qt.Equals, len(order), qt.Commentf("order %v", order))
+	}
+}
+
+// Ends are acknowledged only once the progress that holds them is stored.
+func TestEndsAreAcknowledgedOnceStored(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	starts := b.add(testRecord("01", testStep(2, 500)))
+	b.ends("a", 1, tanagerport.EndedDone, starts...)
+	b.answer(tanagerport.Report{})
+	polls := b.tick(time.Second).Polls
+	b.c.Assert(polls, qt.HasLen, 1)
+	b.c.Assert(polls[0].Poll.Acknowledged, qt.Equals, int64(0))
+	state, _ := b.cell.State(starts[0].Start.Task.Job)
+	b.c.Assert(state, qt.Equals, tanagerwork.Running)
+	b.store()
+	b.answer(tanagerport.Report{})
+	polls = b.tick(time.Second).Polls
+	b.c.Assert(polls[0].Poll.Acknowledged, qt.Equals, int64(2))
+	state, _ = b.cell.State(starts[0].Start.Task.Job)
+	b.c.Assert(state, qt.Equals, tanagerwork.Completed)
+}
+
+// A new scheduler starts no task that a predecessor may have started on a worker
+// that cannot be reached, but does start jobs that were accepted after it.
+func TestSuccessorWaitsForUnreachableWorkers(t *testing.T) {
+	b := newBench(t, 2)
+	b.cell.Inherit(b.now, []string{"a", "lost"})
+	b.workers(testWorker("a", 1))
+	b.sync()
+	old := testRecord("01", testStep(1, 1000))
+	old.Epoch = 1
+	b.c.Assert(b.add(old), qt.HasLen, 0)
+	fresh := testRecord("02", testStep(1, 1000))
+	fresh.Epoch = 2
+	b.c.Assert(b.add(fresh), qt.HasLen, 1)
+	begun := b.now
+	for len(b.out.Starts) == 0 || b.out.Starts[0].Start.Task.Job != old.ID {
+		b.tick(100 * time.Millisecond)
+		b.answer(tanagerport.Report{})
+		b.c.Assert(b.now.Sub(begun) < time.Minute, qt.IsTrue)
+	}
+	b.c.Assert(b.now.Sub(begun) > testSettings().Lease+pollWait, qt.IsTrue)
+}
+
+// A job that a later epoch accepted is not this scheduler's.
+func TestJobOfALaterEpochIsLeftAlone(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	r := testRecord("01", testStep(1, 1000))
+	r.Epoch = 2
+	b.c.Assert(b.add(r), qt.HasLen, 0)
+}
+
+// Runs that a predecessor started are taken over, not started again.
+func TestRunningTaskIsAdopted(t *testing.T) {
+	b := newBench(t, 2)
+	b.cell.Inherit(b.now, []string{"a"})
+	b.workers(testWorker("a", 1))
+	r := testRecord("01", testStep(1, 1000))
+	r.Epoch = 1
+	b.cell.AddJob(b.now, r, nil)
+	b.tick(time.Millisecond)
+	b.answer(tanagerport.Report{Running: []tanagerport.RunningRow{{
+		Task: tanagerwork.TaskName{StepName: tanagerwork.StepName{Job: r.ID}},
+		Run:  1,
+	}}})
+	b.c.Assert(b.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
+	state, known := b.cell.State(r.ID)
+	b.c.Assert(known, qt.IsTrue)
+	b.c.Assert(state, qt.Equals, tanagerwork.Running)
+}
+
+// An order of an earlier term that is refused does not end the present one.
+func TestOldFencedOrderDoesNotDepose(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	first := b.add(testRecord("01", testStep(1, 1000)))[0]
+	b.cell.Reelected(2)
+	b.cell.StartAnswered(b.now, first, tanagerport.Answer{Verdict: tanagerport.Fenced}, nil)
+	b.c.Assert(b.cell.Deposed(), qt.IsFalse)
+	second := b.pass(time.Second)
+	b.c.Assert(second, qt.HasLen, 1)
+	b.cell.StartAnswered(b.now, second[0], tanagerport.Answer{Verdict: tanagerport.Fenced}, nil)
+	b.c.Assert(b.cell.Deposed(), qt.IsTrue)
+}
+
+func TestGangStartsWholeOrNotAtAll(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1), testWorker("b", 1))
+	b.sync()
+	single := b.add(testRecord("01", testStep(1, 3000)))
+	b.c.Assert(single, qt.HasLen, 1)
+	b.c.Assert(b.add(testRecord("02", gangStep(4, 2000))), qt.HasLen, 0)
+	b.ends(single[0].Worker.ID, 1, tanagerport.EndedDone, single[0])
+	starts := b.tick(100 * time.Millisecond).Starts
+	b.c.Assert(starts, qt.HasLen, 4)
+	for _, s := range starts {
+		b.c.Check(s.Start.Run, qt.Equals, starts[0].Start.Run)
+	}
+}
+
+// A gang whose member is refused starts again only when all others have ended.
+func TestBrokenGangStartsAgainWhenAllHaveEnded(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	starts := b.add(testRecord("01", gangStep(2, 2000)))
+	b.c.Assert(starts, qt.HasLen, 2)
+	b.accept(starts[0])
+	b.cell.StartAnswered(b.now, starts[1], tanagerport.Answer{Verdict: tanagerport.Unhealthy}, nil)
+	out := b.tick(50 * time.Millisecond)
+	b.c.Assert(out.Starts, qt.HasLen, 0)
+	b.c.Assert(out.Stops, qt.HasLen, 1)
+	b.ends("a", 1, tanagerport.EndedStopped, starts[0])
+	again := b.pass(time.Second)
+	b.c.Assert(again, qt.HasLen, 2)
+	b.c.Assert(again[0].Start.Run > starts[0].Start.Run, qt.IsTrue)
+}
+
+func TestSpreadLimitAndLabel(t *testing.T) {
+	b := newBench(t, 1)
+	labelled := testWorker("b", 1)
+	labelled.Labels = []string{"big"}
+	b.workers(testWorker("a", 1), labelled, testWorker("c", 1))
+	b.sync()
+	s := testStep(4, 100)
+	s.SpreadLimit = 1
+	b.c.Assert(b.add(testRecord("01", s)), qt.HasLen, 3)
+	s = testStep(2, 100)
+	s.Label = "big"
+	for _, o := range b.add(testRecord("02", s)) {
+		b.c.Check(o.Worker.ID, qt.Equals, "b")
+	}
+}
+
+func TestDrainingWorkerGetsNothingNewAndIsEmptied(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	long := testStep(1, 1000)
+	long.Estimate = time.Minute
+	starts := b.add(testRecord("01", long))
+	b.accept(starts[0])
+	leaving := testWorker("a", 1)
+	leaving.Draining = true
+	leaving.LeavesIn = 3 * time.Second
+	b.workers(leaving)
+	b.c.Assert(b.add(testRecord("02", testStep(1, 100))), qt.HasLen, 0)
+	b.c.Assert(b.out.Stops, qt.HasLen, 0)
+	b.c.Assert(b.tick(2*time.Second).Stops, qt.HasLen, 1)
+}
+
+// A worker that is back in another life runs nothing of before.
+func TestRebornWorkerLosesItsRuns(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	first := b.add(testRecord("01", testStep(1, 1000)))
+	b.accept(first[0])
+	b.workers(testWorker("a", 2))
+	b.tick(100 * time.Millisecond)
+	b.answer(tanagerport.Report{Life: 2})
+	again := b.tick(100 * time.Millisecond).Starts
+	b.c.Assert(again, qt.HasLen, 1)
+	b.c.Assert(again[0].Worker.Life, qt.Equals, int64(2))
+	b.c.Assert(again[0].Start.Run > first[0].Start.Run, qt.IsTrue)
+}
+
+// A call for advice whose answer is lost must not block its step for ever.
+func TestLostAdviceIsAskedForAgain(t *testing.T) {
+	b := newBench(t, 1)
+	b.cell.Configure(tanagerport.Configuration{Queues: []tanagerport.Queue{{
+		Name:    testQueue,
+		Service: testService,
+		Advice: &tanagerport.AdvicePolicy{
+			Decision: 10 * time.Millisecond,
+			Valid:    time.Second,
+		},
+	}}})
+	b.workers(testWorker("a", 1))
+	b.sync()
+	b.cell.SetAdvisers([]string{"d1"})
+	b.cell.AddJob(b.now, testRecord("01", testStep(1, 1000)), nil)
+	b.c.Assert(b.tick(20*time.Millisecond).Advice, qt.HasLen, 1)
+	b.c.Assert(b.tick(20*time.Millisecond).Advice, qt.HasLen, 0)
+	b.pass(time.Second)
+	order := b.tick(time.Second).Advice
+	b.c.Assert(order, qt.HasLen, 1)
+	b.cell.AdviceAnswered(b.now, order[0], b.now, tanagerport.Advice{
+		Tickets: map[string]string{"a": "ticket"},
+		Valid:   time.Second,
+	}, nil)
+	starts := b.tick(20 * time.Millisecond).Starts
+	b.c.Assert(starts, qt.HasLen, 1)
+	b.c.Assert(starts[0].Start.Ticket, qt.Equals, "ticket")
+}
+
+// Progress survives a change of scheduler.
+func TestProgressIsRestored(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	r := testRecord("01", testStep(3, 500))
+	starts := b.add(r)
+	b.ends("a", 1, tanagerport.EndedDone, starts[0])
+	b.ends("a", 2, tanagerport.EndedFailed, starts[1])
+	snapshots := b.cell.Unwritten(10)
+	b.c.Assert(snapshots, qt.HasLen, 1)
+
+	heir := newBench(t, 2)
+	heir.cell.Inherit(heir.now, []string{"a"})
+	heir.workers(testWorker("a", 1))
+	r.Epoch = 1
+	heir.cell.AddJob(heir.now, r, &snapshots[0].Progress)
+	heir.sync()
+	again := heir.tick(200 * time.Millisecond).Starts
+	heir.c.Assert(again, qt.HasLen, 2)
+	for _, o := range again {
+		heir.c.Check(o.Start.Task.Index, qt.Not(qt.Equals), starts[0].Start.Task.Index)
+		heir.c.Check(o.Start.Run > runsPerEpoch, qt.IsTrue)
+	}
+}
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -197,6 +197,7 @@
 	w.clock, w.leaseEnd = 0, 0
 	w.seen, w.acknowledged = 0, 0
 	w.acks = nil
+	w.polling = false
 	w.pollDue = c.now
 	delete(c.unaccounted, w.id)
 }
@@ -300,13 +301,10 @@
 func (c *Cell) PollAnswered(now time.Time, order PollOrder, sent time.Time, r tanagerport.Report, err error) {
 	c.now = now
 	w := c.workers[order.Worker.ID]
-	if w == nil {
+	if w == nil || w.life != order.Worker.Life {
 		return
 	}
 	w.polling = false
-	if w.life != order.Worker.Life {
-		return
-	}
 	if err != nil || r.Verdict != tanagerport.Accepted {
 		c.pollFailed(w, order.Poll.Epoch, r.Verdict, err)
 		return
--- a/tanager/tanagerdispatch/worker_test.go
+++ b/tanager/tanagerdispatch/worker_test.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,8 @@
 	// clock is the workers' clock at now.
 	clock time.Duration
 	out   Orders
+	// open are the polls that have not been answered.
+	open []PollOrder
 }
 
 const (
@@ -95,16 +98,31 @@
 	b.clock += d
 	b.cell.Tick(b.now)
 	b.out = b.cell.TakeOrders()
+	b.open = append(b.open, b.out.Polls...)
 	return b.out
 }
 
-// answer answers the polls of the last tick with the same report.
+// answer answers the open polls with the same report.
 func (b *bench) answer(r tanagerport.Report) {
-	for _, o := range b.out.Polls {
+	open := b.open
+	b.open = nil
+	for _, o := range open {
 		b.report(o, r)
 	}
 }
 
+// pass lets time pass while workers answer that they run nothing, and returns
+// the starts.
+func (b *bench) pass(d time.Duration) []StartOrder {
+	const step = 50 * time.Millisecond
+	var starts []StartOrder
+	for ; d > 0; d -= step {
+		starts = append(starts, b.tick(step).Starts...)
+		b.answer(tanagerport.Report{})
+	}
+	return starts
+}
+
 func (b *bench) report(o PollOrder, r tanagerport.Report) {
 	r.Verdict = tanagerport.Accepted
 	r.Clock = b.clock
@@ -117,9 +135,11 @@
 
 // silence lets the polls of a worker go unanswered.
 func (b *bench) silence(id string) {
-	for _, o := range b.out.Polls {
+	for i, o := range b.open {
 		if o.Worker.ID == id {
+			b.open = slices.Delete(b.open, i, i+1)
 			b.cell.PollAnswered(b.now, o, b.now, tanagerport.Report{}, tanagerport.Unanswered.New("silent"))
+			return
 		}
 	}
 }
@@ -153,12 +173,8 @@
 	var running []tanagerport.RunningRow
 	for range 80 {
 		b.tick(100 * time.Millisecond)
-		for _, o := range b.out.Polls {
-			if o.Worker.ID == "b" {
-				b.report(o, tanagerport.Report{Running: running})
-			}
-		}
 		b.silence("a")
+		b.answer(tanagerport.Report{Running: running})
 		for _, s := range b.out.Starts {
 			restarted++
 			b.c.Check(s.Worker.ID, qt.Equals, "b")
