A stand-in of the platform and a fault soak of real daemons

Change: tanagerfake/tanagersite speaks the platform's published interfaces from the other side, with a store that refuses, is slow, loses answers or writes late, and workers that carry orders out late, fall silent or are reborn. Its observer notes what must never happen. The module soak starts daemons as processes and injects 18 kinds of faults, seeded.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := tanager tanagerd tanagerctl tanagerfake tanagerbench scenarios
+MODULES := tanager tanagerd tanagerctl tanagerfake tanagerbench scenarios platform soak
 BIN := $(CURDIR)/bin
 
 .PHONY: build demo test bench lint format
--- /dev/null
+++ b/soak/tanagersoak/soak.go
@@ -0,0 +1,277 @@
+package tanagersoak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"tanagersail.example/tanagerfake/tanagersite"
+)
+
+// Settings of a run. All fields are required.
+type Settings struct {
+	// Binary is the daemon's program.
+	Binary           string
+	Seed             uint64
+	Daemons, Workers int
+	// Length is how long faults are injected, Settle how long the jobs may take
+	// to end after that.
+	Length, Settle time.Duration
+}
+
+// Report is what a run saw.
+type Report struct {
+	Seed                                         uint64
+	Accepted, Refused, Unsure, Cancelled, Starts int
+	Faults                                       map[string]int
+	// Broken are the promises that were broken.
+	Broken []string
+	// Logs is where the daemons' logs are, if a promise was broken.
+	Logs string
+}
+
+// String returns one line, and one for each broken promise.
+func (r Report) String() string {
+	line := fmt.Sprintf("seed=%d accepted=%d refused=%d unsure=%d cancelled=%d starts=%d faults=%v broken=%d",
+		r.Seed, r.Accepted, r.Refused, r.Unsure, r.Cancelled, r.Starts, r.Faults, len(r.Broken))
+	if len(r.Broken) > 0 {
+		line += " logs=" + r.Logs + "\n  " + strings.Join(r.Broken, "\n  ")
+	}
+	return line
+}
+
+// cell is a running set of daemons with their platform.
+type cell struct {
+	settings Settings
+	site     *tanagersite.Site
+	daemons  []*daemon
+	random   *rand.Rand
+	faults   map[string]int
+	healing  sync.WaitGroup
+}
+
+const (
+	workerCPU = 8000
+	taskTime  = 300 * time.Millisecond
+	startTime = 20 * time.Second
+)
+
+// Run plays one seed.
+func Run(s Settings) (Report, error) {
+	folder, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		return Report{}, err
+	}
+	c := &cell{
+		settings: s,
+		random:   rand.New(rand.NewPCG(s.Seed, 1)),
+		faults:   make(map[string]int),
+	}
+	c.site, err = tanagersite.New(tanagersite.Settings{
+		Workers:  s.Workers,
+		Stores:   s.Daemons,
+		MilliCPU: workerCPU,
+		TaskTime: taskTime,
+		Seed:     s.Seed,
+	})
+	if err != nil {
+		return Report{}, err
+	}
+	defer c.site.Close()
+	defer c.end()
+	if err := c.start(folder); err != nil {
+		return Report{}, err
+	}
+	callers := newCallers(c.site, c.daemons)
+	stop := make(chan struct{})
+	var calling sync.WaitGroup
+	calling.Add(1)
+	go func() {
+		defer calling.Done()
+		callers.run(s.Seed, stop)
+	}()
+	c.inject()
+	c.heal()
+	close(stop)
+	calling.Wait()
+	return c.judge(callers, folder), nil
+}
+
+func (c *cell) start(folder string) error {
+	for i := range c.settings.Daemons {
+		_, address := c.site.Store(i)
+		d, err := newDaemon(c.settings.Binary, folder, fmt.Sprintf("d%d", i), address, c.site.AdviceAddress())
+		if err != nil {
+			return err
+		}
+		if err := d.start(); err != nil {
+			return err
+		}
+		c.daemons = append(c.daemons, d)
+	}
+	for _, d := range c.daemons {
+		if !await(startTime, d.isReady) {
+			return NotStarted.New("%s is not ready, see %s", d.name, d.log)
+		}
+	}
+	return nil
+}
+
+// end kills the processes that this run started.
+func (c *cell) end() {
+	for _, d := range c.daemons {
+		if d.command != nil {
+			d.signal(syscall.SIGKILL)
+			<-d.ended
+		}
+	}
+}
+
+// inject carries faults out until the run's length is over. Each heals after a
+// time, so that they overlap.
+func (c *cell) inject() {
+	kinds := c.kinds()
+	for end := time.Now().Add(c.settings.Length); time.Now().Before(end); {
+		time.Sleep(time.Duration(200+c.random.IntN(700)) * time.Millisecond)
+		k := kinds[c.random.IntN(len(kinds))]
+		c.faults[k.name]++
+		k.inject(time.Duration(300+c.random.IntN(2500)) * time.Millisecond)
+	}
+}
+
+type fault struct {
+	name   string
+	inject func(lasts time.Duration)
+}
+
+func (c *cell) kinds() []fault {
+	return []fault{
+		{name: "kill", inject: func(d time.Duration) { c.stopDaemon(syscall.SIGKILL, d/4) }},
+		{name: "kill_all", inject: c.killAll},
+		{name: "term", inject: func(d time.Duration) { c.stopDaemon(syscall.SIGTERM, d/4) }},
+		{name: "pause", inject: c.pause},
+		{name: "hup", inject: func(time.Duration) { c.pick().signal(syscall.SIGHUP) }},
+		{name: "store_refuses_one", inject: func(d time.Duration) { c.door(tanagersite.StoreFault{Down: true}, d) }},
+		{name: "store_silent_to_one", inject: func(d time.Duration) { c.door(tanagersite.StoreFault{Silent: true}, d) }},
+		{name: "store_down", inject: func(d time.Duration) { c.doors(tanagersite.StoreFault{Down: true}, d) }},
+		{name: "store_slow", inject: func(d time.Duration) { c.doors(tanagersite.StoreFault{Delay: 200 * time.Millisecond}, d) }},
+		{name: "store_loses_answers", inject: func(d time.Duration) { c.doors(tanagersite.StoreFault{LostShare: 0.3}, d) }},
+		{name: "store_writes_late", inject: func(d time.Duration) {
+			c.doors(tanagersite.StoreFault{LostShare: 0.2, LateBy: time.Second}, d)
+		}},
+		{name: "store_compacts", inject: func(time.Duration) { c.site.Compact() }},
+		{name: "worker_late", inject: func(d time.Duration) {
+			c.workers(tanagersite.WorkerFault{LateShare: 0.3, LateBy: 2 * time.Second}, d)
+		}},
+		{name: "worker_silent", inject: func(d time.Duration) { c.worker(tanagersite.WorkerFault{Silent: true}, d) }},
+		{name: "worker_fails", inject: func(d time.Duration) { c.worker(tanagersite.WorkerFault{FailShare: 0.5}, d) }},
+		{name: "worker_restarts", inject: func(time.Duration) { c.site.Worker(c.random.IntN(c.settings.Workers)).Restart() }},
+		{name: "configuration", inject: func(time.Duration) { c.site.Configure() }},
+		{name: "foreign_entry", inject: func(time.Duration) { c.site.Write("servers/other", []byte(`{"service":7}`)) }},
+	}
+}
+
+func (c *cell) pick() *daemon { return c.daemons[c.random.IntN(len(c.daemons))] }
+
+// later heals a fault after a time.
+func (c *cell) later(d time.Duration, heal func()) {
+	c.healing.Add(1)
+	go func() {
+		defer c.healing.Done()
+		time.Sleep(d)
+		heal()
+	}()
+}
+
+// heal waits until all faults have healed.
+func (c *cell) heal() { c.healing.Wait() }
+
+func (c *cell) stopDaemon(s syscall.Signal, pause time.Duration) {
+	d := c.pick()
+	if !d.claim() {
+		return
+	}
+	d.signal(s)
+	c.later(0, func() { d.release(d.restart(pause)) })
+}
+
+func (c *cell) killAll(pause time.Duration) {
+	for _, d := range c.daemons {
+		if d.claim() {
+			d.signal(syscall.SIGKILL)
+			c.later(0, func() { d.release(d.restart(pause / 4)) })
+		}
+	}
+}
+
+func (c *cell) pause(lasts time.Duration) {
+	d := c.pick()
+	if !d.claim() {
+		return
+	}
+	d.signal(syscall.SIGSTOP)
+	c.later(lasts, func() {
+		d.signal(syscall.SIGCONT)
+		d.release(nil)
+	})
+}
+
+func (c *cell) door(f tanagersite.StoreFault, lasts time.Duration) {
+	door, _ := c.site.Store(c.random.IntN(c.settings.Daemons))
+	door.SetFault(f)
+	c.later(lasts, func() { door.SetFault(tanagersite.StoreFault{}) })
+}
+
+func (c *cell) doors(f tanagersite.StoreFault, lasts time.Duration) {
+	for i := range c.settings.Daemons {
+		door, _ := c.site.Store(i)
+		door.SetFault(f)
+		c.later(lasts, func() { door.SetFault(tanagersite.StoreFault{}) })
+	}
+}
+
+func (c *cell) worker(f tanagersite.WorkerFault, lasts time.Duration) {
+	w := c.site.Worker(c.random.IntN(c.settings.Workers))
+	w.SetFault(f)
+	c.later(lasts, func() { w.SetFault(tanagersite.WorkerFault{}) })
+}
+
+func (c *cell) workers(f tanagersite.WorkerFault, lasts time.Duration) {
+	for i := range c.settings.Workers {
+		w := c.site.Worker(i)
+		w.SetFault(f)
+		c.later(lasts, func() { w.SetFault(tanagersite.WorkerFault{}) })
+	}
+}
+
+// judge waits for the accepted jobs to end and gathers what was broken.
+func (c *cell) judge(callers *callers, folder string) Report {
+	var open []string
+	ended := await(c.settings.Settle, func() bool {
+		open = callers.unfinished(c.random)
+		return len(open) == 0
+	})
+	if !ended {
+		callers.note("%d accepted jobs have not ended: %v", len(open), open[:min(len(open), 5)])
+	}
+	broken := append(c.site.Violations(), callers.broken...)
+	report := Report{
+		Seed:      c.settings.Seed,
+		Accepted:  len(callers.accepted),
+		Refused:   callers.refused,
+		Unsure:    callers.unsure,
+		Cancelled: len(callers.cancelled),
+		Starts:    c.site.Starts(),
+		Faults:    c.faults,
+		Broken:    broken,
+		Logs:      folder,
+	}
+	if len(broken) == 0 {
+		_ = os.RemoveAll(folder)
+	}
+	return report
+}
