--- a/tanager/tanagerport/store.go
+++ b/tanager/tanagerport/store.go
@@ -9,13 +9,14 @@
 	// Revision is the store's revision at the key's last change; 0 means that
 	// the key does not exist.
 	Revision int64
+	// Deleted tells that a watch saw the key removed, at Revision.
+	Deleted bool
 }
 
-// Page is a part of a listing, or the changes that a watch returned.
+// Page is a part of a listing, or the changes that a watch returned, in the order
+// in which they were made.
 type Page struct {
 	Items []Item
-	// Deleted are the keys that a watch saw removed.
-	Deleted []string
 	// Revision is that of the store; a watch continues from it.
 	Revision int64
 	// More tells that a listing goes on after its last item.
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -59,12 +59,13 @@
 	ticked    time.Time
 	lastHints time.Time
 	// members are the daemons heard of by the scheduler.
-	members     map[string]time.Time
+	members     map[string]member
 	lastRemoval time.Time
 	lastLoad    time.Time
 
 	// gone is a scheduler whose process has ended, whatever the store says.
 	gone      string
+	started   time.Time
 	standAt   time.Time
 	standing  bool
 	renewedAt time.Time
@@ -206,7 +207,11 @@
 		if deaf {
 			c.reset(c.lead.holder.Member, now)
 		}
-		c.send(c.lead.holder.Member, topicHello, hello{Deaf: deaf})
+		c.send(c.lead.holder.Member, topicHello, hello{
+			Deaf:     deaf,
+			UpTime:   now.Sub(c.started),
+			Stopping: c.stopping,
+		})
 	}
 }
 
@@ -383,26 +388,39 @@
 	c.lead.known = true
 	held := false
 	for _, i := range e.page.Items {
-		held = held || i.Key == holderKey
-		c.learnLead(i)
-	}
-	gone := e.whole && !held
-	for _, key := range e.page.Deleted {
-		gone = gone || key == holderKey
+		switch {
+		case !i.Deleted:
+			held = held || i.Key == holderKey
+			c.learnLead(i)
+		case i.Key == holderKey:
+			c.holderRemoved(i.Revision)
+		}
 	}
-	if gone && c.lead.holder.Member != "" && c.lead.holderRevision < e.page.Revision {
-		c.log.Info().Str("event", "lead_vacant").Str("was", c.lead.holder.Member).Send()
-		c.lead.vacate()
+	if e.whole && !held {
+		c.holderRemoved(e.page.Revision)
 	}
 	if first && c.lead.holder.Member == "" {
 		c.standAt = time.Time{}
 	}
 }
 
+// holderRemoved applies that the scheduler's key was removed at a revision. One
+// that was set since stays.
+func (c *control) holderRemoved(revision int64) {
+	if c.lead.holder.Member == "" || revision < c.lead.holderRevision {
+		return
+	}
+	c.log.Info().Str("event", "lead_vacant").Str("was", c.lead.holder.Member).Int64("revision", revision).Send()
+	c.lead.vacate()
+}
+
 type operatorRead struct{ page tanagerport.Page }
 
 func (e operatorRead) apply(c *control) {
 	for _, i := range e.page.Items {
+		if i.Deleted {
+			continue
+		}
 		configuration, ok, err := c.ports.Decoder.Configuration(i)
 		if err != nil {
 			c.log.Error().Str("event", "configuration_unreadable").Str("key", i.Key).Err(err).Send()
@@ -430,6 +448,10 @@
 		c.fleet = make(map[string]tanagerport.WorkerEntry, len(e.page.Items))
 	}
 	for _, i := range e.page.Items {
+		if i.Deleted {
+			delete(c.fleet, i.Key[len(prefix):])
+			continue
+		}
 		entry, err := c.ports.Decoder.Worker(i)
 		if err != nil {
 			c.log.Warn().Str("event", "worker_entry_ignored").Str("key", i.Key).Err(err).Send()
@@ -438,9 +460,6 @@
 		}
 		c.fleet[entry.ID] = entry
 	}
-	for _, key := range e.page.Deleted {
-		delete(c.fleet, key[len(prefix):])
-	}
 	if c.cell != nil {
 		c.cell.SetWorkers(c.timer.Now(), c.fleetList())
 	}
@@ -477,10 +496,10 @@
 		Hints: hints,
 	}
 	advisers := make([]string, 0, len(c.members))
-	for name, heard := range c.members {
-		if now.Sub(heard) > memberTimeout {
+	for name, m := range c.members {
+		if now.Sub(m.heard) > memberTimeout {
 			delete(c.members, name)
-			c.log.Info().Str("event", "daemon_silent").Str("daemon", name).Dur("age_ms", now.Sub(heard)).Send()
+			c.log.Info().Str("event", "daemon_silent").Str("member", name).Dur("age_ms", now.Sub(m.heard)).Send()
 			continue
 		}
 		advisers = append(advisers, name)
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -62,6 +62,7 @@
 			ttl:    s.LeaderTTL,
 		},
 		random:    random,
+		started:   timer.Now(),
 		ctx:       ctx,
 		events:    make(chan event, eventQueue),
 		fleet:     make(map[string]tanagerport.WorkerEntry),
--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -8,14 +8,17 @@
 )
 
 // execute carries out orders, each on a goroutine of its own; the answers come
-// back as events of the same term.
+// back as events of the same term. An answer to an order of an earlier term says
+// nothing about what the workers know of the present one.
 func (c *control) execute(orders tanagerdispatch.Orders) {
+	term := c.term
 	for _, o := range orders.Starts {
 		go func() {
 			sent := c.timer.Now()
 			answer, err := c.ports.Workers.Start(c.ctx, o.Worker, o.Start)
 			c.metrics.OrderAnswered(c.ctx, "start", c.timer.Now().Sub(sent))
 			c.post(startAnswered{
+				term:   term,
 				order:  o,
 				answer: answer,
 				err:    err,
@@ -26,6 +29,7 @@
 		go func() {
 			answer, err := c.ports.Workers.Stop(c.ctx, o.Worker, o.Stop)
 			c.post(stopAnswered{
+				term:   term,
 				order:  o,
 				answer: answer,
 				err:    err,
@@ -37,6 +41,7 @@
 			sent := c.timer.Now()
 			report, err := c.ports.Workers.Poll(c.ctx, o.Worker, o.Poll)
 			c.post(pollAnswered{
+				term:   term,
 				order:  o,
 				sent:   sent,
 				report: report,
@@ -62,30 +67,33 @@
 }
 
 type startAnswered struct {
+	term   uint64
 	order  tanagerdispatch.StartOrder
 	answer tanagerport.Answer
 	err    error
 }
 
 func (e startAnswered) apply(c *control) {
-	if c.cell != nil {
+	if c.inTerm(e.term) {
 		c.cell.StartAnswered(c.timer.Now(), e.order, e.answer, e.err)
 	}
 }
 
 type stopAnswered struct {
+	term   uint64
 	order  tanagerdispatch.StopOrder
 	answer tanagerport.Answer
 	err    error
 }
 
 func (e stopAnswered) apply(c *control) {
-	if c.cell != nil {
+	if c.inTerm(e.term) {
 		c.cell.StopAnswered(c.timer.Now(), e.order, e.answer, e.err)
 	}
 }
 
 type pollAnswered struct {
+	term   uint64
 	order  tanagerdispatch.PollOrder
 	sent   time.Time
 	report tanagerport.Report
@@ -93,11 +101,14 @@
 }
 
 func (e pollAnswered) apply(c *control) {
-	if c.cell != nil {
+	if c.inTerm(e.term) {
 		c.cell.PollAnswered(c.timer.Now(), e.order, e.sent, e.report, e.err)
 	}
 }
 
+// inTerm reports whether the cell is that of a term.
+func (c *control) inTerm(term uint64) bool { return c.cell != nil && c.term == term }
+
 func (c *control) logNote(n tanagerdispatch.Note) {
 	line := c.log.Info().Str("event", n.Event)
 	if n.Job != "" {
--- a/tanagerd/tanagercell/follow.go
+++ b/tanagerd/tanagercell/follow.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return revision, err
 	}
-	if len(page.Items)+len(page.Deleted) > 0 {
+	if len(page.Items) > 0 {
 		f.changed(page, false)
 	}
 	return max(page.Revision, revision), nil
--- a/tanagerd/tanagercell/lead.go
+++ b/tanagerd/tanagercell/lead.go
@@ -94,29 +94,7 @@
 		Epoch:  l.epoch + 1,
 		Lease:  lease,
 	}
-	revision, _, err := c.store.Commit(ctx, tanagerport.Transaction{
-		Expect: []tanagerport.Expectation{
-			{
-				Key:      holderKey,
-				Revision: l.holderRevision,
-			},
-			{
-				Key:      epochKey,
-				Revision: l.epochRevision,
-			},
-		},
-		Writes: []tanagerport.Write{
-			{
-				Key:   holderKey,
-				Value: tanagerwire.Encode(h),
-				Lease: lease,
-			},
-			{
-				Key:   epochKey,
-				Value: tanagerwire.Encode(epochRecord{Epoch: h.Epoch}),
-			},
-		},
-	})
+	revision, _, err := c.store.Commit(ctx, succession(l, h))
 	if err != nil {
 		return elected{}, err
 	}
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -31,6 +31,16 @@
 	// Deaf tells that no hints have come for some time: the scheduler's own
 	// connection to the daemon has to be opened anew.
 	Deaf bool `json:"deaf"`
+	// UpTime is how long the daemon has run; Stopping ones are about to end.
+	UpTime   time.Duration `json:"up_time"`
+	Stopping bool          `json:"stopping"`
+}
+
+// member is a daemon that the scheduler has heard of.
+type member struct {
+	heard    time.Time
+	started  time.Time
+	stopping bool
 }
 
 // hintsTold is the scheduler's word on each queue.
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -90,7 +90,7 @@
 }
 
 func (e progressWritten) apply(c *control) {
-	if c.cell == nil || e.term != c.term {
+	if !c.inTerm(e.term) {
 		return
 	}
 	c.recorder.inFlight--
@@ -173,7 +173,7 @@
 }
 
 func (e rosterWritten) apply(c *control) {
-	if c.cell == nil || e.term != c.term {
+	if !c.inTerm(e.term) {
 		return
 	}
 	c.recorder.rosterInFlight = false
@@ -233,7 +233,7 @@
 }
 
 func (e jobsRemoved) apply(c *control) {
-	if c.cell == nil || e.term != c.term || e.err != nil {
+	if !c.inTerm(e.term) || e.err != nil {
 		return
 	}
 	for _, id := range e.ids {
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -1,7 +1,6 @@
 package tanagercell
 
 import (
-	"context"
 	"time"
 
 	"github.com/ThreeDotsLabs/watermill/message"
@@ -74,12 +73,17 @@
 		return
 	}
 	if _, known := c.members[from]; !known {
-		c.log.Info().Str("event", "daemon_heard").Str("daemon", from).Send()
+		c.log.Info().Str("event", "daemon_heard").Str("member", from).Send()
 		c.lastHints = time.Time{}
 	} else if h.Deaf {
 		c.reset(from, c.timer.Now())
 	}
-	c.members[from] = c.timer.Now()
+	now := c.timer.Now()
+	c.members[from] = member{
+		heard:    now,
+		started:  now.Add(-h.UpTime),
+		stopping: h.Stopping,
+	}
 }
 
 func (c *control) hintsReceived(h hintsTold) {
@@ -168,27 +172,3 @@
 		c.send(c.lead.holder.Member, e.topic, e.payload)
 	}
 }
-
-// resign hands the scheduler's work over before a planned stop.
-type resign struct{ done chan struct{} }
-
-func (e resign) apply(c *control) {
-	c.stopping = true
-	if !c.leading() {
-		close(e.done)
-		return
-	}
-	lease := c.lead.holder.Lease
-	c.log.Info().Str("event", "scheduler_resign").Uint64("epoch", c.lead.epoch).Send()
-	if c.cell != nil {
-		c.depose("planned stop")
-	}
-	go func() {
-		defer close(e.done)
-		ctx, cancel := context.WithTimeout(c.ctx, candidacyTimeout)
-		defer cancel()
-		if err := c.ports.Store.Release(ctx, lease); err != nil {
-			c.log.Warn().Str("event", "resign_unanswered").Err(err).Send()
-		}
-	}()
-}
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -2,7 +2,7 @@
 
 import (
 	"strings"
-	"time"
+	"sync"
 
 	"tanagersail.example/tanager/tanagerdispatch"
 	"tanagersail.example/tanager/tanagerport"
@@ -27,7 +27,7 @@
 	c.term++
 	c.loading = true
 	c.recorder = newRecorder()
-	c.members = make(map[string]time.Time)
+	c.members = make(map[string]member)
 	c.cell = tanagerdispatch.New(c.settings.Dispatch, c.lead.epoch, c.timer.Now())
 	c.log.Info().Str("event", "scheduler_start").Uint64("epoch", c.lead.epoch).Send()
 	go c.load(c.term)
@@ -54,25 +54,26 @@
 		progress:  make(map[tanagerwork.JobID]*tanagerwork.Progress),
 		revisions: make(map[tanagerwork.JobID]int64),
 	}
-	intake, err := listAll(c.ctx, c.ports.Store, intakePrefix)
-	if err != nil {
-		return nil, err
-	}
-	outcomes, err := listAll(c.ctx, c.ports.Store, outcomeKeys)
-	if err != nil {
-		return nil, err
-	}
-	leads, err := listAll(c.ctx, c.ports.Store, leadPrefix)
-	if err != nil {
-		return nil, err
-	}
-	workers, err := listAll(c.ctx, c.ports.Store, c.ports.Decoder.WorkerPrefix())
-	if err != nil {
-		return nil, err
+	prefixes := []string{intakePrefix, outcomeKeys, leadPrefix, c.ports.Decoder.WorkerPrefix()}
+	pages := make([]tanagerport.Page, len(prefixes))
+	errs := make([]error, len(prefixes))
+	var wait sync.WaitGroup
+	for i, prefix := range prefixes {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			pages[i], errs[i] = listAll(c.ctx, c.ports.Store, prefix)
+		}()
+	}
+	wait.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
 	}
-	found.workers = workers.Items
-	for _, items := range [][]tanagerport.Item{intake.Items, outcomes.Items, leads.Items} {
-		for _, i := range items {
+	found.workers = pages[len(pages)-1].Items
+	for _, page := range pages[:len(pages)-1] {
+		for _, i := range page.Items {
 			if err := found.add(i); err != nil {
 				c.log.Error().Str("event", "record_unreadable").Str("key", i.Key).Err(err).Send()
 			}
@@ -116,7 +117,7 @@
 }
 
 func (e loaded) apply(c *control) {
-	if c.cell == nil || e.term != c.term {
+	if !c.inTerm(e.term) {
 		return
 	}
 	now := c.timer.Now()
@@ -189,6 +190,9 @@
 	}
 	var found inheritance
 	for _, i := range e.page.Items {
+		if i.Deleted {
+			continue
+		}
 		if err := found.add(i); err != nil {
 			c.log.Error().Str("event", "record_unreadable").Str("key", i.Key).Err(err).Send()
 		}
