End the term at a higher epoch, whoever the holder's record names

Ruled out: clocks, lapsed leases, gangs; answers of an earlier term were another fault, mended before.

Change: a holder's record counts only with the epoch it names; a lost election takes over the state that the conflict shows.

Measured: TestHigherEpochEndsTheTerm fails without it.

--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -288,23 +288,30 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, candidacyTimeout)
 		defer cancel()
-		won, err := c.candidate.stand(ctx, present)
+		won, items, err := c.candidate.stand(ctx, present)
 		c.post(stood{
-			won: won,
-			err: err,
+			won:   won,
+			items: items,
+			err:   err,
 		})
 	}()
 }
 
 type stood struct {
-	won elected
-	err error
+	won   elected
+	items []tanagerport.Item
+	err   error
 }
 
 func (e stood) apply(c *control) {
 	c.standing = false
 	if e.err != nil {
 		c.log.Info().Str("event", "election_lost").Err(e.err).Send()
+		for _, i := range e.items {
+			if i.Revision != 0 {
+				c.learnLead(i)
+			}
+		}
 		if !errorx.IsOfType(e.err, tanagerport.Conflict) {
 			c.noteStore(e.err)
 		}
--- /dev/null
+++ b/tanagerd/tanagercell/control_test.go
@@ -0,0 +1,213 @@
+package tanagercell
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
+
+	"tanagersail.example/tanager/tanagerdispatch"
+	"tanagersail.example/tanager/tanagerpeer"
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagertimer"
+	"tanagersail.example/tanager/tanagerwire"
+)
+
+const self = "10.0.0.1:1/self"
+
+// silentStore answers nothing until its caller gives up.
+type silentStore struct{}
+
+func (silentStore) Get(ctx context.Context, _ string) (tanagerport.Item, error) {
+	<-ctx.Done()
+	return tanagerport.Item{}, tanagerport.Unanswered.New("get")
+}
+
+func (silentStore) List(ctx context.Context, _, _ string, _ bool) (tanagerport.Page, error) {
+	<-ctx.Done()
+	return tanagerport.Page{}, tanagerport.Unanswered.New("list")
+}
+
+func (silentStore) Watch(ctx context.Context, _ string, _ int64, _ time.Duration) (tanagerport.Page, error) {
+	<-ctx.Done()
+	return tanagerport.Page{}, tanagerport.Unanswered.New("watch")
+}
+
+func (silentStore) Commit(ctx context.Context, _ tanagerport.Transaction) (int64, []tanagerport.Item, error) {
+	<-ctx.Done()
+	return 0, nil, tanagerport.Unanswered.New("commit")
+}
+
+func (silentStore) Grant(ctx context.Context, _ time.Duration) (int64, error) {
+	<-ctx.Done()
+	return 0, tanagerport.Unanswered.New("grant")
+}
+
+func (silentStore) Renew(ctx context.Context, _ int64) error {
+	<-ctx.Done()
+	return tanagerport.Unanswered.New("renew")
+}
+
+func (silentStore) Release(ctx context.Context, _ int64) error {
+	<-ctx.Done()
+	return tanagerport.Unanswered.New("release")
+}
+
+type noDecoder struct{}
+
+func (noDecoder) WorkerPrefix() string   { return "workers/" }
+func (noDecoder) OperatorPrefix() string { return "operator/" }
+func (noDecoder) Worker(i tanagerport.Item) (tanagerport.WorkerEntry, error) {
+	return tanagerport.WorkerEntry{ID: i.Key[len("workers/"):]}, nil
+}
+func (noDecoder) Configuration(tanagerport.Item) (tanagerport.Configuration, bool, error) {
+	return tanagerport.Configuration{}, false, nil
+}
+
+// newControl returns a control whose goroutines end with the test.
+func newControl(t *testing.T) *control {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	timer := tanagertimer.NewManual(time.Unix(1_700_000_000, 0))
+	c := &control{
+		settings: Settings{LeaderTTL: 2 * time.Second},
+		ports: Ports{
+			Store:   silentStore{},
+			Decoder: noDecoder{},
+		},
+		timer:     timer,
+		log:       zerolog.Nop(),
+		transport: tanagerpeer.New(tanagerpeer.Settings{Self: self, InboxLength: 8, QueueLength: 8}, Directory{}),
+		member:    self,
+		candidate: &candidate{
+			store:  silentStore{},
+			member: self,
+		},
+		random:    rand.New(rand.NewPCG(1, 1)),
+		ctx:       ctx,
+		events:    make(chan event, 64),
+		fleet:     make(map[string]tanagerport.WorkerEntry),
+		questions: make(map[uint64]chan stateTold),
+		forwards:  make(map[uint64]chan tanagerport.Reply),
+		resets:    make(map[string]time.Time),
+	}
+	t.Cleanup(func() { _ = c.transport.Close() })
+	return c
+}
+
+func holderItem(member string, epoch uint64, revision int64) tanagerport.Item {
+	return tanagerport.Item{
+		Key: holderKey,
+		Value: tanagerwire.Encode(holder{
+			Member: member,
+			Epoch:  epoch,
+			Lease:  1,
+		}),
+		Revision: revision,
+	}
+}
+
+func epochItem(epoch uint64, revision int64) tanagerport.Item {
+	return tanagerport.Item{
+		Key:      epochKey,
+		Value:    tanagerwire.Encode(epochRecord{Epoch: epoch}),
+		Revision: revision,
+	}
+}
+
+// leads makes the control the scheduler of an epoch with empty tables.
+func (c *control) leads(epoch uint64) {
+	c.learnLead(epochItem(epoch, int64(10*epoch)))
+	c.learnLead(holderItem(self, epoch, int64(10*epoch)))
+	loaded{
+		term:  c.term,
+		found: &inheritance{},
+	}.apply(c)
+}
+
+// A scheduler that learns of a higher epoch before it sees who was elected must
+// end its term: it is not the one who was elected.
+func TestHigherEpochEndsTheTerm(t *testing.T) {
+	c := newControl(t)
+	c.leads(1)
+	q := qt.New(t)
+	q.Assert(c.cell, qt.IsNotNil)
+	c.learnLead(epochItem(2, 20))
+	q.Assert(c.cell, qt.IsNil)
+	q.Assert(c.leading(), qt.IsFalse)
+	c.learnLead(holderItem("10.0.0.2:1/other", 2, 20))
+	q.Assert(c.lead.holder.Member, qt.Equals, "10.0.0.2:1/other")
+}
+
+// A scheduler whose key lapsed and that was elected again, with nobody between,
+// keeps its tables.
+func TestReelectedSchedulerKeepsItsTables(t *testing.T) {
+	c := newControl(t)
+	c.leads(1)
+	before := c.cell
+	stood{won: elected{
+		holder: holder{
+			Member: self,
+			Epoch:  2,
+		},
+		epochRevision:  20,
+		holderRevision: 20,
+	}}.apply(c)
+	q := qt.New(t)
+	q.Assert(c.cell, qt.Equals, before)
+	q.Assert(c.cell.Epoch(), qt.Equals, uint64(2))
+}
+
+// A deletion that is older than the present holder's record vacates nothing.
+func TestOldDeletionDoesNotVacate(t *testing.T) {
+	c := newControl(t)
+	leadRead{page: tanagerport.Page{
+		Items: []tanagerport.Item{
+			{
+				Key:      holderKey,
+				Revision: 19,
+				Deleted:  true,
+			},
+			holderItem("10.0.0.2:1/other", 2, 20),
+			epochItem(2, 20),
+		},
+		Revision: 30,
+	}}.apply(c)
+	qt.New(t).Assert(c.lead.holder.Member, qt.Equals, "10.0.0.2:1/other")
+	leadRead{page: tanagerport.Page{
+		Items: []tanagerport.Item{{
+			Key:      holderKey,
+			Revision: 31,
+			Deleted:  true,
+		}},
+		Revision: 31,
+	}}.apply(c)
+	qt.New(t).Assert(c.lead.holder.Member, qt.Equals, "")
+}
+
+// An answer to a poll of an earlier term must not make a worker of the present
+// one count as knowing the epoch.
+func TestAnswersOfAnEarlierTermAreDropped(t *testing.T) {
+	c := newControl(t)
+	c.leads(1)
+	old := c.term
+	c.learnLead(epochItem(2, 20))
+	c.leads(3)
+	c.cell.Inherit(c.timer.Now(), []string{"w"})
+	c.cell.SetWorkers(c.timer.Now(), []tanagerport.WorkerEntry{{ID: "w"}})
+	pollAnswered{
+		term:   old,
+		order:  tanagerdispatch.PollOrder{Worker: tanagerport.WorkerRef{ID: "w"}},
+		report: tanagerport.Report{Answer: tanagerport.Answer{Verdict: tanagerport.Accepted}},
+	}.apply(c)
+	qt.New(t).Assert(c.cell.Load().Inherited, qt.Equals, 1)
+	pollAnswered{
+		term:   c.term,
+		order:  tanagerdispatch.PollOrder{Worker: tanagerport.WorkerRef{ID: "w"}},
+		report: tanagerport.Report{Answer: tanagerport.Answer{Verdict: tanagerport.Accepted}},
+	}.apply(c)
+	qt.New(t).Assert(c.cell.Load().Inherited, qt.Equals, 0)
+}
--- a/tanagerd/tanagercell/lead.go
+++ b/tanagerd/tanagercell/lead.go
@@ -48,6 +48,7 @@
 		if item.Revision > l.holderRevision {
 			l.holder = h
 			l.holderRevision = item.Revision
+			l.dropStaleHolder()
 		}
 	case epochKey:
 		var e epochRecord
@@ -57,11 +58,20 @@
 		if item.Revision > l.epochRevision {
 			l.epoch = e.Epoch
 			l.epochRevision = item.Revision
+			l.dropStaleHolder()
 		}
 	}
 	return nil
 }
 
+// dropStaleHolder forgets a holder whose epoch is over: somebody else has been
+// elected, whose record is still to come.
+func (l *lead) dropStaleHolder() {
+	if l.holder.Epoch < l.epoch {
+		l.holder = holder{}
+	}
+}
+
 func (l *lead) vacate() {
 	l.holder = holder{}
 	l.holderRevision = 0
@@ -82,27 +92,27 @@
 }
 
 // stand tries to become the scheduler in place of what l shows. An error of type
-// Conflict means that somebody else did, one of type Unanswered that the store
-// will show who did.
-func (c *candidate) stand(ctx context.Context, l lead) (elected, error) {
+// Conflict means that somebody else did, and comes with the present state; one of
+// type Unanswered means that the store will show who did.
+func (c *candidate) stand(ctx context.Context, l lead) (elected, []tanagerport.Item, error) {
 	lease, err := c.store.Grant(ctx, c.ttl)
 	if err != nil {
-		return elected{}, err
+		return elected{}, nil, err
 	}
 	h := holder{
 		Member: c.member,
 		Epoch:  l.epoch + 1,
 		Lease:  lease,
 	}
-	revision, _, err := c.store.Commit(ctx, succession(l, h))
+	revision, items, err := c.store.Commit(ctx, succession(l, h))
 	if err != nil {
-		return elected{}, err
+		return elected{}, items, err
 	}
 	return elected{
 		holder:         h,
 		epochRevision:  revision,
 		holderRevision: revision,
-	}, nil
+	}, nil, nil
 }
 
 // renew keeps a lease alive and reports whether it has certainly ended.
