Keep the soak's ports out of the range of outgoing connections

Change: ports below the system's range; a daemon that is not running at the end is a broken promise of its own.

--- a/soak/tanagersoak/daemon.go
+++ b/soak/tanagersoak/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -74,13 +75,30 @@
 	return true
 }
 
-// release ends a claim. A daemon that could not be started again fails the run,
-// since its jobs do not end.
+// release ends a claim. A daemon that could not be started again is told of at
+// the end of the run.
 func (d *daemon) release(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.claimed = false
-	d.failed = err
+	if err != nil {
+		d.failed = err
+	}
+}
+
+// failure returns why the daemon is not running, or nil.
+func (d *daemon) failure() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.failed != nil {
+		return d.failed
+	}
+	select {
+	case <-d.ended:
+		return NotStarted.New("%s has ended by itself", d.name)
+	default:
+		return nil
+	}
 }
 
 func newDaemon(binary, folder, name string, store, advice netip.AddrPort) (*daemon, error) {
@@ -103,14 +121,24 @@
 	return d, os.WriteFile(d.settings, []byte(content), 0o600)
 }
 
+// The ports of daemons lie below those that the system gives to outgoing
+// connections, which could take one while its daemon is being started again.
+const (
+	firstPort = 12000
+	portCount = 18000
+	portTries = 100
+)
+
 // freeAddress returns a loopback port that was free a moment ago.
 func freeAddress() (netip.AddrPort, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return netip.AddrPort{}, err
+	for range portTries {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(firstPort+rand.IntN(portCount)))
+		l, err := net.Listen("tcp", address.String())
+		if err == nil {
+			return address, l.Close()
+		}
 	}
-	defer l.Close()
-	return netip.ParseAddrPort(l.Addr().String())
+	return netip.AddrPort{}, NotStarted.New("no free port in %d tries", portTries)
 }
 
 func (d *daemon) start() error {
--- a/soak/tanagersoak/soak.go
+++ b/soak/tanagersoak/soak.go
@@ -250,6 +250,11 @@
 
 // judge waits for the accepted jobs to end and gathers what was broken.
 func (c *cell) judge(callers *callers, folder string) Report {
+	for _, d := range c.daemons {
+		if err := d.failure(); err != nil {
+			callers.note("%v", err)
+		}
+	}
 	var open []string
 	ended := await(c.settings.Settle, func() bool {
 		open = callers.unfinished(c.random)
