--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 MODULES := tanager tanagerd tanagerctl tanagerfake tanagerbench scenarios platform soak
 BIN := $(CURDIR)/bin
 
-.PHONY: build demo test bench lint format
+.PHONY: build demo test bench lint format soak
 
 build:
 	cd tanagerd && go build -o $(BIN)/tanagerd .
@@ -17,6 +17,11 @@
 lint:
 	./scripts/lint.sh
 
+# Ten fresh seeds of the fault soak with real processes.
+soak: build
+	cd soak && go build -o $(BIN)/soak .
+	$(BIN)/soak --binary $(BIN)/tanagerd --first $$(date +%s) --seeds 10
+
 bench:
 	cd tanagerbench && go build -o $(BIN)/tanagerbench .
 	$(BIN)/tanagerbench all
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -19,6 +19,14 @@
   disown
 }
 
+# The example's addresses are fixed, so that the files can be read beside it.
+for port in 7201 7202 7211 7212 7221 7222 7231 7232; do
+  if (exec 3<>"/dev/tcp/127.0.0.1/$port") 2>/dev/null; then
+    echo "Port $port of 127.0.0.1 is taken; is another demo running?" >&2
+    exit 1
+  fi
+done
+
 start store bin/tanagerfake store --address 127.0.0.1:7201
 start fleet bin/tanagerfake fleet --address 127.0.0.1:7202 --file examples/local/fleet.yaml
 for i in 1 2 3; do start "d$i" bin/tanagerd run --settings "examples/local/d$i.yaml"; done
@@ -38,7 +46,9 @@
 $ctl status
 (
   sleep 3
-  $ctl plan examples/local/spring-pruning.yaml --save "$logs/plan.json"
+  until=$(date -u -d '+90 days' +%Y-%m-%dT00:00:00Z)
+  sed "s/until: [^}]*/until: $until/" examples/local/spring-pruning.yaml >"$logs/spring-pruning.yaml"
+  $ctl plan "$logs/spring-pruning.yaml" --save "$logs/plan.json"
   $ctl confirm "$logs/plan.json"
   sleep 3
   echo "Killing daemon d2 (process $second)."
--- a/tanagerd/tanagerboot/log.go
+++ b/tanagerd/tanagerboot/log.go
@@ -46,12 +46,16 @@
 // quotes and escapes only where they hold a space or an escape.
 func keyValues(to, line []byte) []byte {
 	line = bytes.TrimSpace(line)
-	if len(line) < 2 || line[0] != '{' {
+	if len(line) < 2 || line[0] != '{' || line[len(line)-1] != '}' {
 		return append(append(to, line...), 0x0a)
 	}
 	line = line[1 : len(line)-1]
 	for len(line) > 0 {
 		key, rest := token(line)
+		if len(rest) == 0 {
+			to = append(to, key...)
+			break
+		}
 		value, rest := token(rest[1:])
 		to = append(to, bytes.Trim(key, `"`)...)
 		to = append(to, '=')
