Let polls wait for the store, write ends of jobs first, count arrivals exactly

Cause: on a grown site callers saw a finished job 1.2 s late in a flood: 470 jobs waited to be written; half of the polls came back at once with ends that the store did not hold yet, and took the scheduler's processor. Arrivals were cut to whole seconds in the store's records and messages, so that urgent jobs counted as late.

Ruled out: the store (17 ms a write when calm), its limits (no refusals), the wait for a start (70 to 200 ms).

Change: a poll waits up to 120 ms for its last ends to be stored; ended jobs are written before others; times keep their fraction, and a daemon tells a job's age by its own clock; a larger heap between collections, bounded by the limit.

--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -567,18 +567,23 @@
 }
 
 // Unwritten returns up to limit snapshots of jobs whose progress has changed and
-// is not on its way to the store.
+// is not on its way to the store. Jobs that have ended come first: their callers
+// wait for the word.
 func (c *Cell) Unwritten(limit int) []Snapshot {
-	var out []Snapshot
+	out := c.unwritten(nil, limit, true)
+	return c.unwritten(out, limit, false)
+}
+
+func (c *Cell) unwritten(out []Snapshot, limit int, final bool) []Snapshot {
 	for id, j := range c.changed {
 		if len(out) == limit {
 			return out
 		}
-		if j.writing != 0 {
+		if j.writing != 0 || j.state.Final() != final {
 			continue
 		}
+		delete(c.changed, id)
 		if j.version <= j.written {
-			delete(c.changed, id)
 			continue
 		}
 		j.writing = j.version
@@ -587,7 +592,6 @@
 			Version:  j.version,
 			Progress: j.progress(),
 		})
-		delete(c.changed, id)
 	}
 	return out
 }
--- a/tanager/tanagerdispatch/load.go
+++ b/tanager/tanagerdispatch/load.go
@@ -16,6 +16,8 @@
 	// Inherited workers have not been accounted for.
 	Inherited int
 	Open      int
+	// Unwritten jobs have progress that is not on its way to the store.
+	Unwritten int
 }
 
 // Load returns the summary as of the last Tick.
@@ -24,6 +26,7 @@
 		Advisers:  len(c.advisers),
 		Inherited: len(c.unaccounted),
 		Open:      len(c.open),
+		Unwritten: len(c.changed),
 	}
 	for _, w := range c.workers {
 		if c.inUse(w) {
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -30,6 +30,9 @@
 	// pollGap spaces the polls of one worker, so that ends that are close
 	// together share an answer.
 	pollGap = 25 * time.Millisecond
+	// storeWait bounds how long a poll waits until the last ends are stored: some
+	// writes, so that a slow store does not hide further ends.
+	storeWait = 120 * time.Millisecond
 	// pollRetry is the pause after a poll that failed.
 	pollRetry = 150 * time.Millisecond
 	// silentAfter is how long a worker may be silent and still get new work: a
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -249,7 +249,7 @@
 // pollWorkers orders the polls that are due.
 func (c *Cell) pollWorkers() {
 	for id, w := range c.workers {
-		if w.polling || c.now.Before(w.pollDue) {
+		if w.polling || c.now.Before(w.pollDue) || c.awaitsStore(w) {
 			continue
 		}
 		_, awaited := c.unaccounted[id]
@@ -266,6 +266,13 @@
 	}
 }
 
+// awaitsStore reports whether a worker's last ends are still on their way to the
+// store: a poll that cannot acknowledge them would be answered with them at once.
+func (c *Cell) awaitsStore(w *worker) bool {
+	n := len(w.acks)
+	return n > 0 && w.acks[n-1].job.written < w.acks[n-1].version && c.now.Sub(w.heard) < storeWait
+}
+
 // poll makes the next poll of a worker. The first one of a life or an epoch asks
 // for an answer at once. A worker that left the last one unanswered gets no
 // longer lease: each would move the time at which its runs are given up.
--- a/tanager/tanagerwire/codec.go
+++ b/tanager/tanagerwire/codec.go
@@ -20,8 +20,11 @@
 )
 
 // newEncoder returns the deterministic encoding: equal values have equal bytes.
+// Times keep their nanoseconds; the library's default cuts them to seconds.
 func newEncoder() cbor.EncMode {
-	mode, err := cbor.CoreDetEncOptions().EncMode()
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
 	if err != nil {
 		panic(err)
 	}
--- /dev/null
+++ b/tanager/tanagerwire/time_test.go
@@ -0,0 +1,17 @@
+package tanagerwire
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A job's waiting time is counted from its arrival, to the millisecond.
+func TestTimesKeepTheirFraction(t *testing.T) {
+	sent := time.Date(2026, 12, 4, 5, 0, 1, 987654321, time.UTC)
+	var received time.Time
+	c := qt.New(t)
+	c.Assert(Decode(Encode(sent), &received), qt.IsNil)
+	c.Assert(received.Equal(sent), qt.IsTrue)
+}
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -35,7 +35,10 @@
 
 const (
 	// memoryShare of the memory limit is where the collector works harder.
-	memoryShare = 0.6
+	memoryShare = 0.35
+	// heapGrowth in percent lets the heap, a small part of the limit, grow before
+	// a collection: processor time is scarcer than memory here.
+	heapGrowth = 200
 	// leaderTTL is how long a scheduler that went silent stays elected: several
 	// renewals, and well under the time for which workers run on alone.
 	leaderTTL = 2 * time.Second
@@ -66,6 +69,7 @@
 	}
 	log := newLog(os.Stdout)
 	log.Info().Str("event", "start").Str("daemon", settings.Daemon.Name).Str("settings", path).Send()
+	debug.SetGCPercent(heapGrowth)
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
 	meter, err := tanagermeter.New()
 	if err != nil {
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -62,6 +62,10 @@
 	members     map[string]member
 	lastRemoval time.Time
 	lastLoad    time.Time
+	// stepped is when the last step began, longestGap the longest time between
+	// two since the last summary: with tickInterval, the lag of the goroutine.
+	stepped    time.Time
+	longestGap time.Duration
 
 	// gone is a scheduler whose process has ended, whatever the store says.
 	gone      string
@@ -152,6 +156,8 @@
 
 // step does what is due.
 func (c *control) step(now time.Time) {
+	c.longestGap = max(c.longestGap, now.Sub(c.stepped))
+	c.stepped = now
 	c.follow(now)
 	if c.cell != nil && !c.loading {
 		c.schedule(now)
@@ -191,7 +197,9 @@
 		Int("advisers", l.Advisers).Int("advisers_busy", l.BusyAdvisers).
 		Int("inherited_workers", l.Inherited).Int("open_jobs", l.Open).
 		Int64("starts", n.Starts).Int64("stops", n.Stops).Int64("polls", n.Polls).
-		Int64("advice_calls", n.AdviceCalls).Int64("notes_dropped", n.NotesDropped).Send()
+		Int64("advice_calls", n.AdviceCalls).Int64("notes_dropped", n.NotesDropped).
+		Dur("longest_gap_ms", c.longestGap).Int("unwritten", l.Unwritten).Int("writes_in_flight", c.recorder.inFlight).Send()
+	c.longestGap = 0
 }
 
 // follow does what each daemon does: say hello, renew or stand for election.
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -108,8 +108,11 @@
 	}
 	d.committer.stored = func(record tanagerwork.Record) {
 		c.post(tell{
-			topic:   topicJob,
-			payload: jobStored{Record: record},
+			topic: topicJob,
+			payload: jobStored{
+				Record: record,
+				Age:    c.timer.Now().Sub(record.Arrived),
+			},
 		})
 	}
 }
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -52,6 +52,8 @@
 // jobStored tells the scheduler of a job that is in the store.
 type jobStored struct {
 	Record tanagerwork.Record `json:"record"`
+	// Age is how long ago the job arrived: clocks of daemons differ, and jump.
+	Age time.Duration `json:"age"`
 }
 
 type cancelStored struct {
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -47,7 +47,9 @@
 		term := c.term
 		go func() {
 			revision, items, err := c.ports.Store.Commit(c.ctx, t)
+			c.metrics.OrderAnswered(c.ctx, "progress", c.timer.Now().Sub(now))
 			c.post(progressWritten{
+				took:      c.timer.Now().Sub(now),
 				term:      term,
 				snapshots: snapshots,
 				revision:  revision,
@@ -86,6 +88,7 @@
 	snapshots []tanagerdispatch.Snapshot
 	revision  int64
 	items     []tanagerport.Item
+	took      time.Duration
 	err       error
 }
 
@@ -97,6 +100,7 @@
 	if e.err != nil {
 		c.recorder.notBefore = c.timer.Now().Add(storePause)
 		c.noteStore(e.err)
+		c.log.Warn().Str("event", "progress_not_written").Int("jobs", len(e.snapshots)).Dur("took_ms", e.took).Err(e.err).Send()
 	}
 	if errorx.IsOfType(e.err, tanagerport.Conflict) {
 		c.recorder.notBefore = time.Time{}
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -27,7 +27,10 @@
 	case topicHints:
 		err = handle(m, func(h hintsTold) { c.hintsReceived(h) })
 	case topicJob:
-		err = handle(m, func(j jobStored) { jobKnown{record: j.Record}.apply(c) })
+		err = handle(m, func(j jobStored) {
+			j.Record.Arrived = c.timer.Now().Add(-min(max(j.Age, 0), oldestArrival))
+			jobKnown{record: j.Record}.apply(c)
+		})
 	case topicCancel:
 		err = handle(m, func(k cancelStored) { cancelKnown{id: k.ID}.apply(c) })
 	case topicStateAsked:
@@ -48,6 +51,10 @@
 	}
 }
 
+// oldestArrival bounds the age that a daemon tells of a job: longer than any
+// caller waits for an acceptance.
+const oldestArrival = time.Minute
+
 // linkLost notes that a connection broke. If the scheduler's process has ended,
 // nobody waits for its key to lapse.
 func (c *control) linkLost(from string, gone bool) {
