Keep runs that a reborn worker has carried out

Ruled out: the gang, the advice; the worker's report showed the runs.

Change: the first report of the new life tells which attempts are left; a worker that begins a new life and answers nothing is given up after two leases.

--- a/soak/tanagersoak/soak_test.go
+++ b/soak/tanagersoak/soak_test.go
@@ -24,6 +24,10 @@
 		seed:  42,
 		cause: "a scheduler took its successor's epoch for its own",
 	},
+	{
+		seed:  110,
+		cause: "starts that a reborn worker carried out were taken for lost",
+	},
 	{
 		seed:  19,
 		cause: "the soak itself: a daemon's port was taken while it restarted",
--- a/tanager/tanagerdispatch/rules_test.go
+++ b/tanager/tanagerdispatch/rules_test.go
@@ -341,6 +341,38 @@
 	b.c.Assert(again[0].Start.Run > first[0].Start.Run, qt.IsTrue)
 }
 
+// An order that was on its way when its worker restarted may be carried out by
+// the new life. The scheduler must not take the run for lost.
+func TestStartCarriedOutByTheNextLife(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1), testWorker("b", 1))
+	b.sync()
+	first := b.add(testRecord("01", gangStep(2, 2000)))
+	b.c.Assert(first, qt.HasLen, 2)
+	worker := first[0].Worker.ID
+	b.c.Assert(first[1].Worker.ID, qt.Equals, worker)
+	var running []tanagerport.RunningRow
+	for _, o := range first {
+		b.accept(o)
+		running = append(running, tanagerport.RunningRow{
+			Task: o.Start.Task,
+			Run:  o.Start.Run,
+		})
+	}
+	b.tick(20 * time.Millisecond)
+	for _, o := range b.open {
+		if o.Worker.ID == worker {
+			b.report(o, tanagerport.Report{
+				Life:    2,
+				Running: running,
+			})
+		}
+	}
+	b.open = nil
+	b.c.Assert(b.tick(100*time.Millisecond).Starts, qt.HasLen, 0)
+	b.c.Assert(b.out.Stops, qt.HasLen, 0)
+}
+
 // A call for advice whose answer is lost must not block its step for ever.
 func TestLostAdviceIsAskedForAgain(t *testing.T) {
 	b := newBench(t, 1)
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -104,7 +104,7 @@
 func (c *Cell) attemptNamed(at tanagerport.WorkerRef, name tanagerwork.TaskName, run int64) *attempt {
 	w := c.workers[at.ID]
 	s := c.stepOf(name)
-	if w == nil || s == nil || w.life != at.Life {
+	if w == nil || s == nil {
 		return nil
 	}
 	a := s.tasks[name.Index].attempt
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -30,6 +30,9 @@
 	clock    time.Duration
 	clockAt  time.Time
 	leaseEnd time.Duration
+	// giveUpAt is when the attempts of a worker in a new life that answers
+	// nothing have ended.
+	giveUpAt time.Time
 	heard    time.Time
 
 	polling  bool
@@ -181,8 +184,9 @@
 	}
 }
 
-// reborn applies that another incarnation has taken a worker's place: nothing
-// of the former one runs any more.
+// reborn applies that another incarnation has taken a worker's place. Nothing of
+// the former one runs any more, but orders that were sent before this was known
+// may have reached the new one: its first report tells which attempts are left.
 func (c *Cell) reborn(w *worker, life int64, reason string) {
 	c.note(Note{
 		Event:  "worker_reborn",
@@ -190,9 +194,9 @@
 		Reason: reason,
 		Age:    c.now.Sub(w.heard),
 	})
-	c.loseRuns(w, "worker restarted")
 	w.life = life
 	w.synced = false
+	w.giveUpAt = c.now.Add(2*c.settings.Lease + lapseSlack)
 	w.setStrays(tanagerwork.Resources{})
 	w.clock, w.leaseEnd = 0, 0
 	w.seen, w.acknowledged = 0, 0
@@ -231,7 +235,7 @@
 // and forgets workers that have left.
 func (c *Cell) expireLeases() {
 	for id, w := range c.workers {
-		if w.synced && w.clockAtLeast(c.now) > w.leaseEnd+lapseSlack && len(w.attempts) > 0 {
+		if c.lapsed(w) && len(w.attempts) > 0 {
 			c.loseRuns(w, "lease ran out")
 			w.synced = false
 		}
@@ -242,6 +246,16 @@
 	}
 }
 
+// lapsed reports whether a worker's lease has certainly run out. One that has
+// begun a new life and not answered since holds no lease of this scheduler, other
+// than from orders that were on their way.
+func (c *Cell) lapsed(w *worker) bool {
+	if w.synced {
+		return w.clockAtLeast(c.now) > w.leaseEnd+lapseSlack
+	}
+	return !w.giveUpAt.IsZero() && c.now.After(w.giveUpAt)
+}
+
 // forgetAfter is how long a worker that has left the list keeps its row, longer
 // than the platform's list may lag.
 const forgetAfter = 10 * time.Second
@@ -366,6 +380,7 @@
 // deadlines that this scheduler does not know.
 func (c *Cell) sync(w *worker) {
 	w.synced = true
+	w.giveUpAt = time.Time{}
 	w.leaseEnd = max(w.leaseEnd, w.clock+c.settings.Lease)
 	w.pollDue = c.now
 	c.roomVersion++
