Carry out waves of upkeep; refuse at once after an unsure write

Change: waves with their cap, emptied machines first, disruption budgets kept, the state told to the operator; one unsure write marks the store as out of reach until a watch succeeds; schedule() split; what nothing used is out.

--- a/soak/tanagersoak/caller.go
+++ b/soak/tanagersoak/caller.go
@@ -120,13 +120,17 @@
 		return
 	}
 	id := c.accepted[r.IntN(len(c.accepted))]
-	cancelled := c.cancelled[id]
 	c.mu.Unlock()
 	status, state := c.ask(c.pick(r), http.MethodGet, id, nil)
-	c.check(id, status, state, cancelled)
+	c.check(id, status, state)
 }
 
-func (c *callers) check(id string, status int, state string, cancelled bool) {
+// check judges what a daemon said of an accepted job. Whether somebody cancels it
+// is noted before the cancellation is sent, so it is asked for after the answer.
+func (c *callers) check(id string, status int, state string) {
+	c.mu.Lock()
+	cancelled := c.cancelled[id]
+	c.mu.Unlock()
 	switch {
 	case status == http.StatusGone:
 		c.note("job %s was accepted and is not known", id)
@@ -193,10 +197,10 @@
 	var open []string
 	for _, id := range accepted {
 		status, state := c.ask(c.pick(r), http.MethodGet, id, nil)
+		c.check(id, status, state)
 		c.mu.Lock()
 		cancelled := c.cancelled[id]
 		c.mu.Unlock()
-		c.check(id, status, state, cancelled)
 		if state != "completed" && !(state == "cancelled" && cancelled) {
 			open = append(open, strings.TrimSpace(id+" "+state))
 		}
--- a/soak/tanagersoak/soak_test.go
+++ b/soak/tanagersoak/soak_test.go
@@ -28,6 +28,10 @@
 		seed:  110,
 		cause: "starts that a reborn worker carried out were taken for lost",
 	},
+	{
+		seed:  203,
+		cause: "the soak itself: a cancellation between a question and its check",
+	},
 	{
 		seed:  19,
 		cause: "the soak itself: a daemon's port was taken while it restarted",
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -24,7 +24,9 @@
 	changed map[tanagerwork.JobID]*job
 	workers map[string]*worker
 	// usable are the workers that may get new work, by id, as of the last tick.
-	usable []*worker
+	usable   []*worker
+	waves    map[int]*wave
+	machines map[string]tanagerport.Machine
 	// ready are the steps with tasks that wait for a worker.
 	ready []*step
 	// roomVersion counts the moments at which room was freed somewhere.
@@ -67,6 +69,7 @@
 		roomVersion: 1,
 		unaccounted: make(map[string]time.Time),
 		inflation:   1,
+		waves:       make(map[int]*wave),
 		hints:       make(map[string]Hint),
 	}
 }
@@ -79,6 +82,9 @@
 	Polls  []PollOrder
 	Advice []AdviceOrder
 	Notes  []Note
+	// Upkeeps and WaveStatus come from waves.
+	Upkeeps    []UpkeepOrder
+	WaveStatus []WaveStatus
 }
 
 // StartOrder is to be answered by StartAnswered.
@@ -246,6 +252,7 @@
 	c.accountForPredecessor()
 	c.dueOccurrences()
 	c.evacuate()
+	c.upkeep()
 	c.watchProgress()
 	c.resendStops()
 	c.schedule()
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -623,7 +623,7 @@
 		return p
 	}
 	for _, s := range j.steps {
-		if sp, any := s.progress(); any {
+		if sp, some := s.progress(); some {
 			p.Steps = append(p.Steps, sp)
 		}
 	}
--- a/tanager/tanagerdispatch/order.go
+++ b/tanager/tanagerdispatch/order.go
@@ -66,16 +66,10 @@
 
 // schedule places what waits, in order of rank.
 func (c *Cell) schedule() {
-	reserving := c.now.Sub(c.reservedAt) >= reserveInterval
-	if reserving {
-		c.reservedAt = c.now
-	}
 	c.findUsable()
+	reserving := c.now.Sub(c.reservedAt) >= reserveInterval
 	if reserving {
-		for _, w := range c.usable {
-			c.forecast(w)
-			w.yieldTo = nil
-		}
+		c.beginReserving()
 	}
 	c.sortReady()
 	var asks []*step
@@ -87,29 +81,42 @@
 				break
 			}
 		}
-		if s.pending == 0 || s.job.state.Final() || !c.mayStart(s) {
-			continue
-		}
-		if c.place(s) {
-			continue
-		}
-		if !s.spec.Gang {
-			if c.wantsAdvice(s) {
-				asks = append(asks, s)
-			}
+		if s.pending == 0 || s.job.state.Final() || !c.mayStart(s) || c.place(s) {
 			continue
 		}
-		if reserving && gangs < c.reservationLimit() {
-			s.gang.room = c.reserve(s, gangs < c.aheadLimit())
-			if s.gang.room != roomNever {
-				gangs++
-			}
-			if s.gang.room != roomLater && c.mayAsk(s) {
+		switch {
+		case !s.spec.Gang && c.wantsAdvice(s):
+			asks = append(asks, s)
+		case s.spec.Gang && reserving && gangs < c.reservationLimit():
+			if c.reserveInTurn(s, &gangs) {
 				asks = append(asks, s)
 			}
 		}
 	}
 	c.ask(asks)
+	c.dropPlaced()
+}
+
+func (c *Cell) beginReserving() {
+	c.reservedAt = c.now
+	for _, w := range c.usable {
+		c.forecast(w)
+		w.yieldTo = nil
+	}
+}
+
+// reserveInTurn keeps room for a gang, counts it if it can ever start on the
+// workers that are known, and reports whether it is to be asked about.
+func (c *Cell) reserveInTurn(s *step, gangs *int) bool {
+	s.gang.room = c.reserve(s, *gangs < c.aheadLimit())
+	if s.gang.room != roomNever {
+		*gangs++
+	}
+	return s.gang.room != roomLater && c.mayAsk(s)
+}
+
+// dropPlaced removes steps without waiting tasks from the ready list.
+func (c *Cell) dropPlaced() {
 	c.ready = slices.DeleteFunc(c.ready, func(s *step) bool {
 		gone := s.pending == 0 || s.job.state.Final()
 		if gone {
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -9,10 +9,13 @@
 	"tanagersail.example/tanager/tanagerwork"
 )
 
-// fitWeight is how much a worker that would be left empty counts against it,
-// beside the time that the task takes there: tight packing keeps whole workers
-// free for gangs.
-const fitWeight = 0.3
+// The side weights are how much longer, as a share of its time, a task may take to
+// stay away from the end of the fleet where gangs find whole workers. Urgent tasks
+// have less time to give.
+const (
+	sideWeight       = 0.5
+	urgentSideWeight = 0.3
+)
 
 // place starts as many tasks of a step as find a worker, and reports whether
 // none is left.
@@ -48,7 +51,7 @@
 }
 
 // bestWorker returns the worker on which a task of the step ends soonest, and of
-// equal ones the one that it fills most.
+// similar ones the one farthest from where gangs are placed.
 func (c *Cell) bestWorker(s *step) *worker {
 	var best *worker
 	var bestScore float64
@@ -57,7 +60,7 @@
 		if !held.Within(w.free) || !c.eligible(w, s) || c.spreadLeft(s, w) < 1 || c.reserved(w, s) {
 			continue
 		}
-		score := c.score(w, s, held)
+		score := c.score(w, s)
 		if best == nil || score < bestScore || score == bestScore && w.id < best.id {
 			best = w
 			bestScore = score
@@ -66,11 +69,11 @@
 	return best
 }
 
-func (c *Cell) score(w *worker, s *step, held tanagerwork.Resources) float64 {
+func (c *Cell) score(w *worker, s *step) float64 {
 	if s.rank.urgent {
-		return c.timeFactor(w, s) + fitWeight*w.side
+		return c.timeFactor(w, s) + urgentSideWeight*w.side
 	}
-	return c.timeFactor(w, s) + 0.5*w.side
+	return c.timeFactor(w, s) + sideWeight*w.side
 }
 
 // timeFactor is how much longer than its estimate a task takes on a worker.
@@ -107,7 +110,7 @@
 
 // inUse reports whether a worker may get new work.
 func (c *Cell) inUse(w *worker) bool {
-	return w.listed && w.rostered && w.synced && !w.entry.Draining &&
+	return w.listed && w.rostered && w.synced && !w.entry.Draining && w.cordonedAt.IsZero() &&
 		c.now.Sub(w.heard) < silentAfter && !c.now.Before(w.health.avoidUntil)
 }
 
--- a/tanager/tanagerdispatch/predecessor.go
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -1,10 +1,6 @@
 package tanagerdispatch
 
-import (
-	"time"
-
-	"tanagersail.example/tanager/tanagerport"
-)
+import "time"
 
 // Inherit tells which workers a predecessor may have started tasks on. Tasks of
 // inherited jobs that no worker shows wait until each of these has answered a
@@ -84,12 +80,3 @@
 	}
 	c.roomVersion++
 }
-
-// Workers returns what is known of the workers, for status pages.
-func (c *Cell) Workers() []tanagerport.WorkerEntry {
-	out := make([]tanagerport.WorkerEntry, 0, len(c.workers))
-	for _, w := range c.workers {
-		out = append(out, w.entry)
-	}
-	return out
-}
--- /dev/null
+++ b/tanager/tanagerdispatch/wave_test.go
@@ -0,0 +1,83 @@
+package tanagerdispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerport"
+)
+
+// A wave takes down at most its cap at once, empties machines first and is told
+// to be completed only when the upkeep of each has begun.
+func TestWaveKeepsItsCap(t *testing.T) {
+	b := newBench(t, 1)
+	var entries []tanagerport.WorkerEntry
+	var machines []tanagerport.Machine
+	config := tanagerport.Wave{
+		Number: 7,
+		Cap:    2,
+		Within: time.Minute,
+	}
+	for i := range 5 {
+		id := fmt.Sprintf("w%d", i)
+		entries = append(entries, testWorker(id, 1))
+		machines = append(machines, tanagerport.Machine{
+			Name:     "m" + id,
+			State:    tanagerport.MachineUp,
+			WorkerID: id,
+		})
+		config.Machines = append(config.Machines, "m"+id)
+	}
+	b.workers(entries...)
+	b.sync()
+	b.cell.AddWave(b.now, config)
+	b.cell.SetMachines(machines)
+	begun := map[string]time.Time{}
+	completed := false
+	for range 400 {
+		b.tick(100 * time.Millisecond)
+		b.answer(tanagerport.Report{})
+		for _, o := range b.out.Upkeeps {
+			begun[o.Machine] = b.now
+			b.cell.UpkeepAnswered(b.now, o, true)
+		}
+		down := 0
+		for i := range machines {
+			machines[i].State = tanagerport.MachineUp
+			if at, is := begun[machines[i].Name]; is && b.now.Sub(at) < 2*time.Second {
+				machines[i].State = tanagerport.MachineUpkeep
+				down++
+			}
+		}
+		b.c.Assert(down <= config.Cap, qt.IsTrue)
+		b.cell.SetMachines(machines)
+		for _, s := range b.out.WaveStatus {
+			completed = s.Completed
+			b.c.Assert(!s.Completed || len(begun) == len(machines), qt.IsTrue)
+		}
+	}
+	b.c.Assert(completed, qt.IsTrue)
+}
+
+// A lasting task stays while so many others of its step are away.
+func TestUpkeepKeepsTheDisruptionBudget(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	s := testStep(2, 100)
+	s.Lasting = true
+	s.DisruptionBudget = 1
+	starts := b.add(testRecord("01", s))
+	b.c.Assert(starts, qt.HasLen, 2)
+	b.accept(starts[0])
+	b.accept(starts[1])
+	step := b.cell.jobs[starts[0].Start.Task.Job].steps[0]
+	step.tasks[0].attempt.percent = 100
+	step.tasks[1].attempt.percent = 100
+	b.c.Assert(b.cell.mayDisrupt(step.tasks[0].attempt), qt.IsTrue)
+	step.tasks[1].attempt.percent = 40
+	b.c.Assert(b.cell.mayDisrupt(step.tasks[0].attempt), qt.IsFalse)
+}
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -45,6 +45,9 @@
 	seen, acknowledged int64
 	acks               []ack
 	leavesAt           time.Time
+	// cordonedAt is when the worker began to be emptied for the upkeep of its
+	// machine.
+	cordonedAt time.Time
 	// usable is whether the worker may get new work, as of the last tick.
 	usable bool
 	// side is the worker's place between the end of the fleet that is filled
@@ -197,6 +200,7 @@
 	w.life = life
 	w.synced = false
 	w.giveUpAt = c.now.Add(2*c.settings.Lease + lapseSlack)
+	w.cordonedAt = time.Time{}
 	w.setStrays(tanagerwork.Resources{})
 	w.clock, w.leaseEnd = 0, 0
 	w.seen, w.acknowledged = 0, 0
--- a/tanager/tanagerport/operator.go
+++ b/tanager/tanagerport/operator.go
@@ -43,8 +43,6 @@
 	Name string
 	// EnforcesCapacity tells that workers refuse what does not fit.
 	EnforcesCapacity bool
-	// Standby services have their machines switched off.
-	Standby bool
 }
 
 // Configuration is the operator's newest configuration.
@@ -53,8 +51,6 @@
 	Queues       []Queue
 	Services     []Service
 	MaxBodyBytes int64
-	HeaderBytes  int
-	IdleTimeout  time.Duration
 }
 
 // Wave asks for the upkeep of machines, at most Cap at once, within a time.
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -111,6 +111,13 @@
 		}
 		ports.Advisor = tanagerplatform.NewAdvisor(address, calls)
 	}
+	if s.Services.Machines != "" {
+		address, err := netip.ParseAddrPort(s.Services.Machines)
+		if err != nil {
+			return nil, tanagersettings.OutOfRange.Wrap(err, "services.machines")
+		}
+		ports.Machines = tanagerplatform.NewMachines(address, s.Daemon.Name, calls)
+	}
 	return tanagercell.New(tanagercell.Settings{
 		Name:        s.Daemon.Name,
 		PeerAddress: s.Daemon.PeerAddress,
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -51,13 +51,18 @@
 
 	// cell is nil unless this daemon is the scheduler. term tells the cells of
 	// one process apart; loading is set between election and the first tables.
-	cell      *tanagerdispatch.Cell
-	term      uint64
-	loading   bool
-	waiting   []event
-	recorder  *recorder
-	ticked    time.Time
-	lastHints time.Time
+	cell    *tanagerdispatch.Cell
+	term    uint64
+	loading bool
+	waiting []event
+	// waves are those that the operator has written; machinesRead is when the
+	// list of machines was last asked for.
+	waves           map[int]tanagerport.Wave
+	machinesRead    time.Time
+	readingMachines bool
+	recorder        *recorder
+	ticked          time.Time
+	lastHints       time.Time
 	// members are the daemons heard of by the scheduler.
 	members     map[string]member
 	lastRemoval time.Time
@@ -170,6 +175,7 @@
 		c.ticked = now
 		c.cell.Tick(now)
 	}
+	c.watchMachines(now)
 	c.execute(c.cell.TakeOrders())
 	if c.cell.Deposed() {
 		c.depose("a worker has seen a higher epoch")
@@ -263,6 +269,9 @@
 	if e.lease != c.lead.holder.Lease || !c.leading() {
 		return
 	}
+	if e.err == nil {
+		c.renewedAt = c.timer.Now()
+	}
 	if e.ended {
 		c.log.Warn().Str("event", "leadership_lapsed").Uint64("epoch", c.lead.epoch).Send()
 		c.lead.vacate()
@@ -436,6 +445,9 @@
 		if i.Deleted {
 			continue
 		}
+		if c.waveRead(i) {
+			continue
+		}
 		configuration, ok, err := c.ports.Decoder.Configuration(i)
 		if err != nil {
 			c.log.Error().Str("event", "configuration_unreadable").Str("key", i.Key).Err(err).Send()
@@ -452,6 +464,24 @@
 	}
 }
 
+// waveRead reports whether an item was a wave, and adds it.
+func (c *control) waveRead(i tanagerport.Item) bool {
+	w, ok, err := c.ports.Decoder.Wave(i)
+	if !ok {
+		return false
+	}
+	if err != nil {
+		c.log.Error().Str("event", "wave_unreadable").Str("key", i.Key).Err(err).Send()
+		return true
+	}
+	c.log.Info().Str("event", "wave_read").Int("wave", w.Number).Int("machines", len(w.Machines)).Int("cap", w.Cap).Send()
+	c.waves[w.Number] = w
+	if c.cell != nil {
+		c.cell.AddWave(c.timer.Now(), w)
+	}
+	return true
+}
+
 type fleetRead struct {
 	page  tanagerport.Page
 	whole bool
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -71,6 +71,7 @@
 		questions: make(map[uint64]chan stateTold),
 		forwards:  make(map[uint64]chan tanagerport.Reply),
 		resets:    make(map[string]time.Time),
+		waves:     make(map[int]tanagerport.Wave),
 	}
 	c.publishView()
 	d := &Daemon{
--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -61,6 +61,8 @@
 			c.cell.AdviceAnswered(c.timer.Now(), o, c.timer.Now(), tanagerport.Advice{}, tanagerport.Refused.New("adviser %s", o.Adviser))
 		}
 	}
+	c.orderUpkeeps(orders.Upkeeps)
+	c.tellWaves(orders.WaveStatus)
 	for _, n := range orders.Notes {
 		c.logNote(n)
 	}
--- a/tanagerd/tanagercell/follow.go
+++ b/tanagerd/tanagercell/follow.go
@@ -69,12 +69,12 @@
 
 // listAll reads all pages under a prefix. Its revision is that of the first.
 func listAll(ctx context.Context, s Store, prefix string) (tanagerport.Page, error) {
-	whole, err := s.List(ctx, prefix, "", false)
+	whole, err := s.List(ctx, prefix, "")
 	if err != nil {
 		return whole, err
 	}
 	for more := whole.More; more && len(whole.Items) > 0; {
-		page, err := s.List(ctx, prefix, whole.Items[len(whole.Items)-1].Key, false)
+		page, err := s.List(ctx, prefix, whole.Items[len(whole.Items)-1].Key)
 		if err != nil {
 			return whole, err
 		}
--- a/tanagerd/tanagercell/forward.go
+++ b/tanagerd/tanagercell/forward.go
@@ -80,7 +80,7 @@
 // mayForward reports whether the scheduler was heard of lately.
 func (d *Desk) mayForward(v *view) bool {
 	return v.scheduler != "" && v.scheduler != d.control.member &&
-		d.control.timer.Now().Sub(v.hintsAt) < memberTimeout
+		d.control.timer.Now().Sub(v.hintsAt) < forwardHint
 }
 
 func replyOf(o outcome) tanagerport.Reply {
@@ -102,6 +102,10 @@
 		here, cancel := context.WithTimeout(ctx, submitTimeout)
 		first = replyOf(d.committer.submit(here, record))
 		cancel()
+		if first == tanagerport.ReplyUnsure {
+			// Until a watch succeeds again, others are refused or forwarded at once.
+			d.control.post(storeReached{ok: false})
+		}
 	}
 	if first == tanagerport.ReplyAccepted || !d.mayForward(v) {
 		return first
--- a/tanagerd/tanagercell/ports.go
+++ b/tanagerd/tanagercell/ports.go
@@ -11,7 +11,7 @@
 // Store is the key-value service in which everything that must last is kept.
 type Store interface {
 	Get(ctx context.Context, key string) (tanagerport.Item, error)
-	List(ctx context.Context, prefix, after string, stale bool) (tanagerport.Page, error)
+	List(ctx context.Context, prefix, after string) (tanagerport.Page, error)
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (tanagerport.Page, error)
 	Commit(ctx context.Context, t tanagerport.Transaction) (int64, []tanagerport.Item, error)
 	Grant(ctx context.Context, ttl time.Duration) (int64, error)
@@ -40,6 +40,10 @@
 	Worker(item tanagerport.Item) (tanagerport.WorkerEntry, error)
 	// Configuration reports false for a key that holds something else.
 	Configuration(item tanagerport.Item) (tanagerport.Configuration, bool, error)
+	// Wave reports false for a key that holds something else.
+	Wave(item tanagerport.Item) (tanagerport.Wave, bool, error)
+	// WaveStatus returns where and how the operator is told of a wave.
+	WaveStatus(number int, completed bool) (key string, value []byte, err error)
 }
 
 // Ports are the outside systems that a daemon speaks to.
@@ -48,4 +52,6 @@
 	Workers Workers
 	Advisor Advisor
 	Decoder Decoder
+	// Machines is nil where there is no such interface.
+	Machines Machines
 }
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -76,8 +76,11 @@
 	stateTimeout = 300 * time.Millisecond
 	// submitTimeout bounds the store's part in an acceptance before the
 	// scheduler is asked; forwardTimeout bounds that.
-	submitTimeout  = 900 * time.Millisecond
+	submitTimeout  = 700 * time.Millisecond
 	forwardTimeout = 1200 * time.Millisecond
+	// forwardHint is how fresh the scheduler's word must be before something is
+	// forwarded to it: some of its messages.
+	forwardHint = 600 * time.Millisecond
 	// staleHint is the age after which the scheduler's hints count for nothing;
 	// the published bound of a count's age.
 	staleHint = 2 * time.Second
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -133,6 +133,9 @@
 	if c.lead.epoch > 1 {
 		c.cell.Inherit(now, append(e.found.roster, sortedIDs(c.fleet)...))
 	}
+	for _, w := range c.waves {
+		c.cell.AddWave(now, w)
+	}
 	for _, record := range e.found.jobs {
 		c.cell.AddJob(now, record, e.found.progress[record.ID])
 	}
