Keep silent workers in the roster until their leases are over

Ruled out: the stored progress, the listing, an acknowledgement before its write.

Change: it leaves when its lease is over. A daemon that does not reach the store refuses forwarded jobs at once.

--- a/tanager/tanagerdispatch/predecessor.go
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -43,11 +43,12 @@
 }
 
 // Roster returns the workers that a successor has to account for, and whether
-// the stored roster has others. Workers that are silent and run nothing are left
-// out, so that a successor need not wait for their leases.
+// the stored roster has others. Workers that are silent are left out once their
+// leases are over, so that a successor need not wait for them: before that they
+// may list ends of runs that are not acknowledged.
 func (c *Cell) Roster() (ids []string, changed bool) {
 	for id, w := range c.workers {
-		wanted := len(w.attempts) > 0 || w.listed && w.misses < rosterMisses
+		wanted := len(w.attempts) > 0 || w.listed && w.misses < rosterMisses || !c.leaseOver(w)
 		if _, awaited := c.unaccounted[id]; awaited {
 			wanted = true
 		}
--- a/tanager/tanagerdispatch/rules_test.go
+++ b/tanager/tanagerdispatch/rules_test.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -215,6 +216,27 @@
 	b.c.Assert(b.now.Sub(begun) > testSettings().Lease+pollWait, qt.IsTrue)
 }
 
+// A worker that has fallen silent stays in the roster until its lease is over: it
+// may hold ends that nobody has acknowledged.
+func TestSilentWorkerStaysInTheRosterForItsLease(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1), testWorker("b", 1))
+	b.sync()
+	fell := b.now
+	var left time.Duration
+	for range 100 {
+		b.tick(100 * time.Millisecond)
+		b.silence("a")
+		b.answer(tanagerport.Report{})
+		ids, _ := b.cell.Roster()
+		if !slices.Contains(ids, "a") {
+			left = b.now.Sub(fell)
+			break
+		}
+	}
+	b.c.Assert(left > testSettings().Lease, qt.IsTrue, qt.Commentf("left after %v", left))
+}
+
 // A job that a later epoch accepted is not this scheduler's.
 func TestJobOfALaterEpochIsLeftAlone(t *testing.T) {
 	b := newBench(t, 1)
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -239,9 +239,10 @@
 // and forgets workers that have left.
 func (c *Cell) expireLeases() {
 	for id, w := range c.workers {
-		if c.lapsed(w) && len(w.attempts) > 0 {
+		if c.lapsed(w) {
 			c.loseRuns(w, "lease ran out")
 			w.synced = false
+			w.giveUpAt = time.Time{}
 		}
 		_, awaited := c.unaccounted[id]
 		if !w.listed && len(w.attempts) == 0 && !awaited && c.now.Sub(w.heard) > forgetAfter {
@@ -260,6 +261,11 @@
 	return !w.giveUpAt.IsZero() && c.now.After(w.giveUpAt)
 }
 
+// leaseOver reports whether a worker certainly holds no lease of this scheduler.
+func (c *Cell) leaseOver(w *worker) bool {
+	return !w.synced && w.giveUpAt.IsZero() || c.lapsed(w)
+}
+
 // forgetAfter is how long a worker that has left the list keeps its row, longer
 // than the platform's list may lag.
 const forgetAfter = 10 * time.Second
--- a/tanagerd/tanagercell/forward.go
+++ b/tanagerd/tanagercell/forward.go
@@ -24,8 +24,16 @@
 	delete(c.forwards, c.asked-oldQuestion)
 }
 
-// serveForwarded stores what another daemon could not.
+// serveForwarded stores what another daemon could not, and refuses it at once if
+// this one does not reach the store either.
 func (c *control) serveForwarded(from string, f forwarded) {
+	if !c.storeUp {
+		c.send(from, topicForwardTold, forwardTold{
+			Question: f.Question,
+			Reply:    tanagerport.ReplyUnavailable,
+		})
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(c.ctx, forwardTimeout)
 		defer cancel()
