Split the largest files of the cell by subject

Change: moves only, but for comments: ends, progress, polls, reports, leases, gangs and reservations, elections and beliefs have files of their own.

--- a/tanager/tanagerdispatch/doc.go
+++ b/tanager/tanagerdispatch/doc.go
@@ -10,14 +10,16 @@
 //
 //   - order.go: more work than room; what can still meet its objective goes
 //     first, by least slack.
-//   - place.go: tasks of unlike sizes on workers of unlike speed; gangs that
-//     need room at one moment.
+//   - place.go: tasks of unlike sizes on workers of unlike speed.
+//   - gang.go, reserve.go: gangs that need room at one moment.
 //   - admit.go: a flood of one queue; jobs that would wait too long are turned
 //     away with the time after which they fit.
 //   - health.go: workers that fail, stall or slow down what they run.
 //   - advice.go: steps that only some workers may run, which one slow service
 //     knows.
 //   - drain.go: workers that are taken away.
+//   - wave.go: upkeep of machines under running work.
+//   - pace.go: tasks that fill beside tasks that serve.
 //   - predecessor.go: a change of scheduler while workers cannot be reached.
 //
 // # Safety
--- /dev/null
+++ b/tanager/tanagerdispatch/end.go
@@ -0,0 +1,144 @@
+package tanagerdispatch
+
+import (
+	"time"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// endAttempt removes an attempt and frees its room.
+func (c *Cell) endAttempt(a *attempt) {
+	s := a.step
+	t := &s.tasks[a.index]
+	if t.attempt != a {
+		return
+	}
+	t.attempt = nil
+	s.active--
+	if s.spread[a.worker]--; s.spread[a.worker] <= 0 {
+		delete(s.spread, a.worker)
+	}
+	a.worker.release(a)
+	c.roomVersion++
+	if !t.done {
+		s.pending++
+		c.enqueue(s)
+	}
+}
+
+// ended applies the end of a run that a worker has listed.
+func (c *Cell) ended(w *worker, row tanagerport.EndedRow) {
+	j, known := c.jobs[row.Task.Job]
+	if !known {
+		return
+	}
+	s := j.step(row.Task.Occurrence, row.Task.Step)
+	if s == nil || row.Task.Index >= len(s.tasks) {
+		return
+	}
+	c.note(Note{
+		Event:  "run_ended",
+		Job:    row.Task.Job,
+		Task:   row.Task,
+		Run:    row.Run,
+		Worker: w.id,
+		Reason: string(row.How),
+	})
+	t := &s.tasks[row.Task.Index]
+	t.run = max(t.run, row.Run)
+	s.gang.run = max(s.gang.run, row.Run*btoi(s.spec.Gang))
+	c.noteCheckpoint(s, row.Task.Index, row.Checkpoint)
+	current := t.attempt
+	if current != nil && (current.run != row.Run || current.worker != w) {
+		current = nil
+	}
+	c.learn(w, current, row.How)
+	if current != nil {
+		c.endAttempt(current)
+	}
+	c.begin(j)
+	c.touch(j)
+	c.applyEnd(s, row)
+}
+
+func btoi(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (c *Cell) applyEnd(s *step, row tanagerport.EndedRow) {
+	switch row.How {
+	case tanagerport.EndedDone:
+		c.applyDone(s, row.Task.Index)
+	case tanagerport.EndedFailed:
+		c.applyFailed(s, row)
+	default:
+		if s.spec.Gang && row.Run == s.gang.run {
+			c.breakGang(s, "member ended "+string(row.How))
+		}
+	}
+}
+
+// applyDone marks a task, or the whole gang, as done. A lasting task that ends
+// is started again.
+func (c *Cell) applyDone(s *step, index int) {
+	if s.spec.Lasting {
+		s.notBefore = c.now.Add(retryDelay)
+		return
+	}
+	if !s.spec.Gang {
+		c.taskDone(s, index)
+		if a := s.tasks[index].attempt; a != nil {
+			c.stop(a, "task done elsewhere")
+		}
+		return
+	}
+	for i := range s.tasks {
+		c.taskDone(s, i)
+	}
+}
+
+// retryDelay is the pause after a failed run, so that the next try finds the
+// worker's failure noted and fresh work goes first.
+const retryDelay = 100 * time.Millisecond
+
+func (c *Cell) applyFailed(s *step, row tanagerport.EndedRow) {
+	s.notBefore = c.now.Add(retryDelay)
+	failures := &s.tasks[row.Task.Index].failures
+	if s.spec.Gang {
+		failures = &s.gang.failures
+		if row.Run == s.gang.run {
+			c.breakGang(s, "member failed")
+		}
+	}
+	if failures.Add(row.Run) && !s.spec.Lasting && len(*failures) >= s.job.queue.maxAttempts() {
+		c.finish(s.job, tanagerwork.Failed, "a task has used all its attempts")
+	}
+}
+
+// breakGang stops the other members of a gang's present run.
+func (c *Cell) breakGang(s *step, reason string) {
+	if s.active == 0 {
+		return
+	}
+	s.gang.broken = true
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a != nil {
+			c.stop(a, reason)
+		}
+	}
+}
+
+func (c *Cell) noteCheckpoint(s *step, index int, saved string) {
+	if saved == "" {
+		return
+	}
+	if s.spec.Gang {
+		s.gang.saved = saved
+		return
+	}
+	s.tasks[index].saved = saved
+}
--- a/tanager/tanagerdispatch/order.go
+++ b/tanager/tanagerdispatch/order.go
@@ -146,8 +146,10 @@
 	}
 }
 
-// Room is kept for one waiting gang for every workersPerReservation workers, and
-// for leastReservations: more would leave room empty for gangs far back.
+// Room that is free is kept for one waiting gang for every workersPerReservation
+// workers, and for leastReservations. For one in workersPerAhead, work with more
+// slack also stays off workers whose room is still to come. In the replay of a
+// grown fleet more of either left workers empty for gangs far back.
 const (
 	workersPerReservation = 8
 	workersPerAhead       = 24
--- /dev/null
+++ b/tanager/tanagerdispatch/report.go
@@ -0,0 +1,136 @@
+package tanagerdispatch
+
+import (
+	"time"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// applyRunning compares the runs that a worker shows with the attempts that are
+// believed to be there.
+func (c *Cell) applyRunning(w *worker, r tanagerport.Report, sent time.Time) {
+	shown := make(map[*attempt]bool, len(r.Running))
+	var strays tanagerwork.Resources
+	for _, row := range r.Running {
+		a := c.attemptOf(w, row)
+		if a == nil {
+			a = c.adopt(w, row)
+		}
+		if a == nil {
+			c.stopStray(w, row)
+			strays = strays.Add(c.strayRoom(w, row))
+			continue
+		}
+		shown[a] = true
+		c.confirm(a, row)
+	}
+	w.setStrays(strays)
+	if !r.Whole {
+		return
+	}
+	for a := range w.attempts {
+		if !shown[a] && a.goneBy(sent) {
+			c.note(Note{
+				Event:  "run_gone",
+				Job:    a.step.job.record.ID,
+				Task:   a.name(),
+				Run:    a.run,
+				Worker: w.id,
+				Reason: a.reason,
+			})
+			c.lose(a)
+		}
+	}
+}
+
+// strayRoom returns the room that a run takes which no attempt stands for: all
+// of the worker's if its job is not known.
+func (c *Cell) strayRoom(w *worker, row tanagerport.RunningRow) tanagerwork.Resources {
+	if s := c.stepOf(row.Task); s != nil {
+		return s.spec.Held()
+	}
+	return w.entry.Capacity
+}
+
+func (w *worker) setStrays(r tanagerwork.Resources) {
+	w.free = w.free.Add(w.strays).Sub(r)
+	w.strays = r
+}
+
+// goneBy reports whether a worker that does not show the attempt in a report
+// asked for at that time does not have it, and never will.
+func (a *attempt) goneBy(asked time.Time) bool {
+	switch a.phase {
+	case running:
+		return !a.started.IsZero() && a.started.Before(asked)
+	case stopping:
+		return !a.stopAnswered.IsZero() && a.stopAnswered.Before(asked)
+	default:
+		return false
+	}
+}
+
+func (c *Cell) attemptOf(w *worker, row tanagerport.RunningRow) *attempt {
+	s := c.stepOf(row.Task)
+	if s == nil {
+		return nil
+	}
+	if a := s.tasks[row.Task.Index].attempt; a != nil && a.worker == w && a.run == row.Run {
+		return a
+	}
+	return nil
+}
+
+func (c *Cell) stepOf(name tanagerwork.TaskName) *step {
+	j := c.jobs[name.Job]
+	if j == nil {
+		return nil
+	}
+	s := j.step(name.Occurrence, name.Step)
+	if s == nil || name.Index < 0 || name.Index >= len(s.tasks) {
+		return nil
+	}
+	return s
+}
+
+func (c *Cell) confirm(a *attempt, row tanagerport.RunningRow) {
+	if a.phase == starting {
+		a.phase = running
+		a.since = c.now
+	}
+	if a.started.IsZero() {
+		a.started = c.now
+	}
+	if row.Percent != a.percent || a.progressAt.IsZero() {
+		a.percent = row.Percent
+		a.progressAt = c.now
+	}
+	a.gauge = row.Gauge
+	c.noteCheckpoint(a.step, a.index, row.Checkpoint)
+}
+
+// adopt takes over a run that a predecessor started. It returns nil if the run
+// is not wanted.
+func (c *Cell) adopt(w *worker, row tanagerport.RunningRow) *attempt {
+	s := c.stepOf(row.Task)
+	if s == nil || s.job.state.Final() {
+		return nil
+	}
+	t := &s.tasks[row.Task.Index]
+	if t.done || t.attempt != nil || s.spec.Gang && (row.Run < s.gang.run || s.gang.broken) {
+		return nil
+	}
+	a := c.newAttempt(s, row.Task.Index, row.Run, w)
+	a.phase = running
+	a.started = c.now
+	c.note(Note{
+		Event:  "run_adopted",
+		Job:    row.Task.Job,
+		Task:   row.Task,
+		Run:    row.Run,
+		Worker: w.id,
+	})
+	c.begin(s.job)
+	return a
+}
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -93,31 +93,6 @@
 	desk *Desk
 }
 
-// view is what callers' goroutines see of the control state.
-type view struct {
-	configuration *tanagerport.Configuration
-	scheduler     string
-	epoch         uint64
-	epochRevision int64
-	hints         map[string]tanagerdispatch.Hint
-	hintsAt       time.Time
-	storeUp       bool
-	stopping      bool
-}
-
-func (c *control) publishView() {
-	c.view.Store(&view{
-		configuration: c.configuration,
-		scheduler:     c.lead.holder.Member,
-		epoch:         c.lead.epoch,
-		epochRevision: c.lead.epochRevision,
-		hints:         c.hints,
-		hintsAt:       c.hintsAt,
-		storeUp:       c.storeUp,
-		stopping:      c.stopping,
-	})
-}
-
 // post hands an event to the control goroutine.
 func (c *control) post(e event) {
 	select {
@@ -240,31 +215,6 @@
 	c.log.Info().Str("event", "link_reset").Str("member", member).Send()
 }
 
-// leading reports whether the store names this daemon as the scheduler.
-func (c *control) leading() bool { return c.lead.holder.Member == c.member }
-
-func (c *control) renew(now time.Time) {
-	if now.Sub(c.lastRenew) < c.settings.LeaderTTL/renewals {
-		return
-	}
-	c.lastRenew = now
-	lease := c.lead.holder.Lease
-	go func() {
-		ended, err := c.candidate.renew(c.ctx, lease)
-		c.post(renewed{
-			lease: lease,
-			ended: ended,
-			err:   err,
-		})
-	}()
-}
-
-type renewed struct {
-	lease int64
-	ended bool
-	err   error
-}
-
 func (e renewed) apply(c *control) {
 	if e.lease != c.lead.holder.Lease || !c.leading() {
 		return
@@ -279,47 +229,6 @@
 	}
 }
 
-// considerStanding stands for election once nobody holds the key for a time.
-func (c *control) considerStanding(now time.Time) {
-	vacant := c.lead.holder.Member == "" || c.lead.holder.Member == c.gone
-	if !c.lead.known || c.stopping || c.standing || !vacant {
-		return
-	}
-	if c.standAt.IsZero() {
-		c.standAt = now.Add(standDelay(c.settings.Weight, c.random))
-		if c.cell == nil && c.gone == "" && now.Sub(c.hintsAt) < memberTimeout {
-			c.standAt = c.standAt.Add(incumbentHeadStart)
-		}
-	}
-	if now.Before(c.standAt) {
-		return
-	}
-	c.stand("nobody leads")
-}
-
-func (c *control) stand(reason string) {
-	c.standing = true
-	c.standAt = time.Time{}
-	present := c.lead
-	c.log.Info().Str("event", "election_stand").Str("reason", reason).Uint64("epoch", present.epoch).Send()
-	go func() {
-		ctx, cancel := context.WithTimeout(c.ctx, candidacyTimeout)
-		defer cancel()
-		won, items, err := c.candidate.stand(ctx, present)
-		c.post(stood{
-			won:   won,
-			items: items,
-			err:   err,
-		})
-	}()
-}
-
-type stood struct {
-	won   elected
-	items []tanagerport.Item
-	err   error
-}
-
 func (e stood) apply(c *control) {
 	c.standing = false
 	if e.err != nil {
@@ -341,59 +250,6 @@
 	c.leadChanged()
 }
 
-// learnLead applies an item of the lead prefix.
-func (c *control) learnLead(item tanagerport.Item) {
-	before := c.lead
-	if err := c.lead.apply(item); err != nil {
-		c.log.Error().Str("event", "lead_unreadable").Str("key", item.Key).Err(err).Send()
-		return
-	}
-	if before != c.lead {
-		c.leadChanged()
-	}
-}
-
-// leadChanged begins or ends this daemon's own term.
-func (c *control) leadChanged() {
-	c.log.Info().Str("event", "lead_changed").Str("scheduler", c.lead.holder.Member).
-		Uint64("epoch", c.lead.epoch).Int64("revision", c.lead.epochRevision).Send()
-	if c.lead.holder.Member != "" && c.lead.holder.Member != c.gone {
-		c.standAt = time.Time{}
-		c.gone = ""
-	}
-	switch {
-	case c.cell != nil && c.lead.epoch > c.cell.Epoch() && c.leading() && c.lead.epoch == c.cell.Epoch()+1 && !c.loading:
-		c.cell.Reelected(c.lead.epoch)
-	case c.cell != nil && c.lead.epoch > c.cell.Epoch():
-		c.depose("a higher epoch was stored")
-		if c.leading() {
-			c.takeOver()
-		}
-	case c.cell == nil && c.leading() && c.lead.holder.Epoch == c.lead.epoch:
-		c.takeOver()
-	}
-}
-
-func (c *control) depose(reason string) {
-	c.log.Warn().Str("event", "scheduler_stop").Str("reason", reason).Uint64("epoch", c.lead.epoch).Send()
-	c.cell = nil
-	c.loading = false
-	c.waiting = nil
-	if c.leading() {
-		c.lead.vacate()
-	}
-}
-
-// noteStore remembers that the store did not serve a call.
-func (c *control) noteStore(err error) {
-	if errorx.IsOfType(err, tanagerport.Conflict) {
-		return
-	}
-	storeReached{ok: false}.apply(c)
-}
-
-type storeReached struct{ ok bool }
-
 func (e storeReached) apply(c *control) {
 	if e.ok == c.storeUp {
 		return
@@ -402,11 +258,6 @@
 	c.log.Info().Str("event", "store_reached").Bool("up", e.ok).Send()
 }
 
-type leadRead struct {
-	page  tanagerport.Page
-	whole bool
-}
-
 func (e leadRead) apply(c *control) {
 	first := !c.lead.known
 	c.lead.known = true
@@ -428,18 +279,6 @@
 	}
 }
 
-// holderRemoved applies that the scheduler's key was removed at a revision. One
-// that was set since stays.
-func (c *control) holderRemoved(revision int64) {
-	if c.lead.holder.Member == "" || revision < c.lead.holderRevision {
-		return
-	}
-	c.log.Info().Str("event", "lead_vacant").Str("was", c.lead.holder.Member).Int64("revision", revision).Send()
-	c.lead.vacate()
-}
-
-type operatorRead struct{ page tanagerport.Page }
-
 func (e operatorRead) apply(c *control) {
 	for _, i := range e.page.Items {
 		if i.Deleted {
@@ -464,29 +303,6 @@
 	}
 }
 
-// waveRead reports whether an item was a wave, and adds it.
-func (c *control) waveRead(i tanagerport.Item) bool {
-	w, ok, err := c.ports.Decoder.Wave(i)
-	if !ok {
-		return false
-	}
-	if err != nil {
-		c.log.Error().Str("event", "wave_unreadable").Str("key", i.Key).Err(err).Send()
-		return true
-	}
-	c.log.Info().Str("event", "wave_read").Int("wave", w.Number).Int("machines", len(w.Machines)).Int("cap", w.Cap).Send()
-	c.waves[w.Number] = w
-	if c.cell != nil {
-		c.cell.AddWave(c.timer.Now(), w)
-	}
-	return true
-}
-
-type fleetRead struct {
-	page  tanagerport.Page
-	whole bool
-}
-
 func (e fleetRead) apply(c *control) {
 	prefix := c.ports.Decoder.WorkerPrefix()
 	if e.whole {
@@ -510,14 +326,6 @@
 	}
 }
 
-func (c *control) fleetList() []tanagerport.WorkerEntry {
-	list := make([]tanagerport.WorkerEntry, 0, len(c.fleet))
-	for _, e := range c.fleet {
-		list = append(list, e)
-	}
-	return list
-}
-
 // send queues a message for a daemon and reports whether that was possible.
 func (c *control) send(to, topic string, payload any) bool {
 	m := message.NewMessage("", tanagerwire.Encode(payload))
