Say plainly what is kept for gangs

Cause: kept room carried a time that was always past since it is kept only when it is free.

Change: no behaviour meant to change: the test against that time is out, the two reasons to stay off a worker stand side by side.

--- a/tanager/tanagerdispatch/reserve.go
+++ b/tanager/tanagerdispatch/reserve.go
@@ -9,34 +9,32 @@
 	"tanagersail.example/tanager/tanagerwork"
 )
 
-// reserved reports whether a worker's room is kept for a gang that comes before
-// the step, and the step would neither leave it enough nor be done by the time
-// the gang needs it.
+// reserved reports whether a step must stay off a worker: because it has more
+// slack than a gang that will need the worker before the step's task has ended, or
+// because it would not leave the room that is kept for a gang.
 func (c *Cell) reserved(w *worker, s *step) bool {
-	if w.yieldTo != nil && !s.spec.Gang && !s.rank.urgent && w.yieldTo.rank.compare(s.rank) < 0 {
-		ends := c.now.Add(time.Duration(backfillSafety * float64(s.spec.Estimate) * c.timeFactor(w, s)))
-
-		if ends.After(w.yieldUntil) {
-
-			return true
-		}
+	if w.yieldTo != nil && !s.spec.Gang && !s.rank.urgent && w.yieldTo.rank.compare(s.rank) < 0 && !c.endsBy(w, s, w.yieldUntil) {
+		return true
 	}
 	if w.reservedFor == nil || w.reservedFor == s {
 		return false
 	}
-	if s.spec.Held().Add(w.reservedRoom).Within(w.free) {
-		return false
-	}
-	ends := c.now.Add(time.Duration(backfillSafety * float64(s.spec.Estimate) * c.timeFactor(w, s)))
-	return s.spec.Lasting || ends.After(w.reservedUntil)
+	return !s.spec.Held().Add(w.reservedRoom).Within(w.free)
+}
+
+// endsBy reports whether a task that starts on a worker now will have ended by a
+// time.
+func (c *Cell) endsBy(w *worker, s *step, t time.Time) bool {
+	length := backfillSafety * float64(s.spec.Estimate) * c.timeFactor(w, s)
+	return !c.now.Add(time.Duration(length)).After(t)
 }
 
 // backfillSafety times its estimate a task must end before the gang needs the
 // room: estimates are off by half as a rule.
 const backfillSafety = 1.5
 
-// keepGrace is how long after its expected time a reservation is kept before
-// other workers are looked for.
+// keepGrace is how long kept room that something else has taken is waited for
+// before other workers are looked for.
 const keepGrace = 300 * time.Millisecond
 
 // room tells when a gang can start.
@@ -60,30 +58,24 @@
 // ANL/IBM SP scheduling system", 1995). Without it small tasks take each gap and a
 // gang never finds its room at one moment.
 func (c *Cell) reserve(s *step, ahead bool) room {
-
-	if len(s.gang.kept) > 0 && c.keptFits(s) || c.reserveAt(s, 0) {
-
+	if len(s.gang.kept) > 0 && c.keptFits(s) || c.reserveNow(s) {
 		return roomNow
 	}
 	if len(s.gang.kept) > 0 {
 		if c.keptValid(s) {
-			return c.laterOrFar(s, s.gang.kept[0].worker.reservedUntil.Sub(c.now))
+			return roomLater
 		}
 		c.dropReservation(s)
 	}
 	if !c.everFits(s, 1) {
-
 		return roomNever
 	}
 	times := c.releaseTimes(s)
 	first := sort.Search(len(times), func(i int) bool { return c.roomAt(s, times[i]) != nil })
 	if first == len(times) {
-
 		return c.laterOrFar(s, farFuture)
 	}
-
 	if ahead {
-
 		for _, w := range c.allowed(s) {
 			w.yieldTo = s
 			w.yieldUntil = c.now.Add(times[first])
@@ -134,7 +126,7 @@
 // keptValid reports whether a reservation may still come true.
 func (c *Cell) keptValid(s *step) bool {
 	for _, k := range s.gang.kept {
-		if !k.worker.usable || c.now.Sub(k.worker.reservedUntil) > keepGrace {
+		if !k.worker.usable || c.now.Sub(k.worker.reservedAt) > keepGrace {
 			return false
 		}
 	}
@@ -188,9 +180,9 @@
 	return found
 }
 
-// reserveAt keeps the room that will be free after a time, if that suffices.
-func (c *Cell) reserveAt(s *step, at time.Duration) bool {
-	found := c.roomAt(s, at)
+// reserveNow keeps room that is free, if it suffices.
+func (c *Cell) reserveNow(s *step) bool {
+	found := c.roomAt(s, 0)
 	if found == nil {
 		return false
 	}
@@ -199,7 +191,7 @@
 	for _, k := range s.gang.kept {
 		k.worker.reservedFor = s
 		k.worker.reservedRoom = s.spec.Held().Times(k.copies)
-		k.worker.reservedUntil = c.now.Add(at)
+		k.worker.reservedAt = c.now
 	}
 	return true
 }
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -53,11 +53,10 @@
 	// releases is the forecast of the last reckoning of reservations.
 	releases []release
 	health   health
-	// reservedFor is the gang that waits for reservedRoom on this worker, which
-	// will be free at reservedUntil.
-	reservedFor   *step
-	reservedRoom  tanagerwork.Resources
-	reservedUntil time.Time
+	// reservedFor is the gang that reservedRoom is kept for, since reservedAt.
+	reservedFor  *step
+	reservedRoom tanagerwork.Resources
+	reservedAt   time.Time
 	// yieldTo is a gang further back that may use this worker: work with more
 	// slack stays away unless it ends before yieldUntil.
 	yieldTo    *step
