Measure a cell's floods against first come, first fit at both sites' sizes

Change: `tanagerbench replay` floods each kind in turn and prints the cell's worth, wasted work and urgent wait, and each as a ratio to the baseline.

--- a/tanagerbench/main.go
+++ b/tanagerbench/main.go
@@ -8,6 +8,7 @@
 //	tanagerbench requests  floods of requests at one service
 //	tanagerbench tasks     floods of tasks on workers
 //	tanagerbench owners    choice of owners on stale hints
+//	tanagerbench replay    floods of a cell's load at the sizes of the two sites
 //	tanagerbench control   cost and size of a daemon's control tables
 //	tanagerbench all
 //
@@ -35,13 +36,15 @@
 		"requests": benchRequests,
 		"tasks":    benchTasks,
 		"owners":   benchOwners,
+		"replay":   benchReplay,
 		"control":  benchControl,
 	}
-	order := []string{"place", "requests", "tasks", "owners", "control"}
+	order := []string{"place", "requests", "tasks", "owners", "replay", "control"}
 	app.Command("place", "Cost, waits and packing of placement at several sizes.")
 	app.Command("requests", "Floods of requests at one service.")
 	app.Command("tasks", "Floods of tasks on workers.")
 	app.Command("owners", "Choice of owners on stale hints.")
+	app.Command("replay", "Floods of a cell's load at the sizes of the two sites.")
 	app.Command("control", "Cost and size of a daemon's control tables.")
 	app.Command("all", "All of these.")
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
