--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -136,7 +136,9 @@
 
 // step does what is due.
 func (c *control) step(now time.Time) {
-	c.longestGap = max(c.longestGap, now.Sub(c.stepped))
+	if !c.stepped.IsZero() {
+		c.longestGap = max(c.longestGap, now.Sub(c.stepped))
+	}
 	c.stepped = now
 	c.follow(now)
 	if c.cell != nil && !c.loading {
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -217,3 +217,14 @@
 	}.apply(c)
 	qt.New(t).Assert(c.cell.Load().Inherited, qt.Equals, 0)
 }
+
+// The first step has none before it: a gap counted from the zero time filled the
+// first load line of each daemon that had just started.
+func TestGapsCountFromTheFirstStep(t *testing.T) {
+	c := newControl(t)
+	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	c.step(now)
+	qt.Assert(t, c.longestGap, qt.Equals, time.Duration(0))
+	c.step(now.Add(7 * time.Millisecond))
+	qt.Assert(t, c.longestGap, qt.Equals, 7*time.Millisecond)
+}
