Never refuse a job after an answer of the store that cannot be read

An answer to the transaction of an acceptance that was cut or could not be decoded came back as Malformed, and all but lost answers counted as a refusal: the caller was told "not run" of a job that was stored and would run. Errors of these transactions, and a stored job that could not be decoded, were nowhere in the log.

Ruled out: orders to workers and the election; both take such an answer as open.

Change: only Refused, which means that nothing was done, is a refusal. All else leaves the write open, to be sent again under its conditions. Each failed transaction is logged (commit_failed), and a stored job that cannot be decoded (job_unreadable).

Measured: the new test fails before (refused, one job in the store) and passes after.

Conclusion: "refused" was defined by what is left over; it is named now.

--- a/tanagerd/tanagercell/commit.go
+++ b/tanagerd/tanagercell/commit.go
@@ -51,6 +51,11 @@
 	learned func(item tanagerport.Item)
 	// stored receives each job that is new in the store.
 	stored func(record tanagerwork.Record)
+	// failed is told of each transaction that had no usable answer.
+	failed func(jobs int, err error)
+	// unreadable is told of a stored job that cannot be decoded. The scheduler
+	// finds it in the store, and says so again, when it takes over.
+	unreadable func(id tanagerwork.JobID, err error)
 }
 
 func newCommitter(s Store) *committer {
@@ -130,18 +135,21 @@
 			return
 		case errorx.IsOfType(err, tanagerport.Conflict):
 			batch = c.settleExisting(batch, items)
-		case errorx.IsOfType(err, tanagerport.Unanswered):
-			for _, s := range batch {
-				s.open = true
-			}
-			time.Sleep(storePause)
-		default:
+		case errorx.IsOfType(err, tanagerport.Refused):
+			c.failed(len(batch), err)
 			if !anyOpen(batch) {
 				settleAll(batch, refused)
 				return
 			}
 			batch = settleSure(batch)
 			time.Sleep(storePause)
+		default:
+			// No answer, or none that can be read: the write may be done.
+			c.failed(len(batch), err)
+			for _, s := range batch {
+				s.open = true
+			}
+			time.Sleep(storePause)
 		}
 	}
 }
@@ -215,7 +223,9 @@
 			continue
 		}
 		var record tanagerwork.Record
-		if tanagerwire.Decode(item.Value, &record) == nil {
+		if err := tanagerwire.Decode(item.Value, &record); err != nil {
+			c.unreadable(s.record.ID, err)
+		} else {
 			c.stored(record)
 		}
 		s.settle(accepted)
--- a/tanagerd/tanagercell/commit_test.go
+++ b/tanagerd/tanagercell/commit_test.go
@@ -105,6 +105,8 @@
 		defer mu.Unlock()
 		told = append(told, r)
 	}
+	c.failed = func(jobs int, err error) { t.Logf("%d jobs: %v", jobs, err) }
+	c.unreadable = func(id tanagerwork.JobID, err error) { t.Errorf("job %s: %v", id, err) }
 	go c.run(ctx)
 	return c, &told
 }
@@ -167,6 +169,16 @@
 	qt.New(t).Assert(c.submit(ctx, commitRecord("a")), qt.Equals, unsure)
 }
 
+// An answer that cannot be read leaves open whether the write was done.
+func TestUnreadableAnswerIsNoRefusal(t *testing.T) {
+	s := newScriptedStore(scripted{err: tanagerport.Malformed.New("answer 200, cut")})
+	c, told := startCommitter(t, s, 0, 0)
+	q := qt.New(t)
+	q.Assert(submitOnce(c, "a"), qt.Equals, accepted)
+	q.Assert(s.revision, qt.Equals, int64(1))
+	q.Assert(*told, qt.HasLen, 1)
+}
+
 // The same job again is one job, told of as it was stored.
 func TestSameJobAgain(t *testing.T) {
 	s := newScriptedStore()
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -116,6 +116,12 @@
 			},
 		})
 	}
+	d.committer.failed = func(jobs int, err error) {
+		c.log.Warn().Str("event", "commit_failed").Int("jobs", jobs).Err(err).Send()
+	}
+	d.committer.unreadable = func(id tanagerwork.JobID, err error) {
+		c.log.Error().Str("event", "job_unreadable").Str("job", string(id)).Err(err).Send()
+	}
 }
 
 // leadLearned applies what a conflict showed and tells when it is in the view.
