Log why the store counts as out of reach, and writes that failed

Change: store_reached carries the error; roster_not_written, jobs_not_removed.

Ruled out: logging each failed watch; a belief is logged when it changes.

Conclusion: a changed belief has its cause in the same line.

--- a/tanagerd/tanagercell/belief.go
+++ b/tanagerd/tanagercell/belief.go
@@ -11,10 +11,11 @@
 	if errorx.IsOfType(err, tanagerport.Conflict) {
 		return
 	}
-	storeReached{ok: false}.apply(c)
+	storeReached{err: err}.apply(c)
 }
 
-type storeReached struct{ ok bool }
+// storeReached tells that the store served a call, or why it did not.
+type storeReached struct{ err error }
 
 type operatorRead struct{ page tanagerport.Page }
 
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -253,11 +253,12 @@
 }
 
 func (e storeReached) apply(c *control) {
-	if e.ok == c.storeUp {
+	up := e.err == nil
+	if up == c.storeUp {
 		return
 	}
-	c.storeUp = e.ok
-	c.log.Info().Str("event", "store_reached").Bool("up", e.ok).Send()
+	c.storeUp = up
+	c.log.Info().Str("event", "store_reached").Bool("up", up).Err(e.err).Send()
 }
 
 func (e leadRead) apply(c *control) {
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -150,7 +150,7 @@
 		return errorx.Decorate(err, "subscribe")
 	}
 	c.log.Info().Str("event", "daemon_start").Str("member", c.member).Send()
-	reached := func(ok bool) { c.post(storeReached{ok: ok}) }
+	reached := func(err error) { c.post(storeReached{err: err}) }
 	followers := []*follower{
 		{
 			prefix:  leadPrefix,
@@ -182,18 +182,20 @@
 			continue
 		}
 		ctx, cancel := context.WithCancel(c.ctx)
+		// The followers that each daemon has tell whether the store serves.
+		unheard := func(error) {}
 		fleet := &follower{
 			store:   c.ports.Store,
 			prefix:  c.ports.Decoder.WorkerPrefix(),
 			changed: func(p tanagerport.Page, whole bool) { c.post(fleetRead{page: p, whole: whole}) },
-			reached: func(bool) {},
+			reached: unheard,
 		}
 		intake := &follower{
 			store:   c.ports.Store,
 			prefix:  intakePrefix,
 			pause:   intakePause,
 			changed: func(p tanagerport.Page, _ bool) { c.post(intakeRead{page: p}) },
-			reached: func(bool) {},
+			reached: unheard,
 		}
 		go fleet.run(ctx)
 		go intake.run(ctx)
--- a/tanagerd/tanagercell/follow.go
+++ b/tanagerd/tanagercell/follow.go
@@ -18,8 +18,8 @@
 	// changed receives each step: items and deletions, and whether it is the
 	// whole content.
 	changed func(page tanagerport.Page, whole bool)
-	// reached receives whether calls succeed.
-	reached func(ok bool)
+	// reached receives how each call ended.
+	reached func(err error)
 }
 
 // run follows the prefix until the context ends. Lost history is made good by
@@ -33,7 +33,7 @@
 		} else {
 			revision, err = f.watch(ctx, revision)
 		}
-		f.reached(err == nil)
+		f.reached(err)
 		if err != nil {
 			sleep(ctx, storePause)
 		} else if f.pause > 0 {
--- a/tanagerd/tanagercell/forward.go
+++ b/tanagerd/tanagercell/forward.go
@@ -112,7 +112,7 @@
 		cancel()
 		if first == tanagerport.ReplyUnsure {
 			// Until a watch succeeds again, others are refused or forwarded at once.
-			d.control.post(storeReached{ok: false})
+			d.control.post(storeReached{err: tanagerport.Unanswered.New("job %s: not stored in %v", record.ID, submitTimeout)})
 		}
 	}
 	if first == tanagerport.ReplyAccepted || !d.mayForward(v) {
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -186,6 +186,7 @@
 		c.cell.RosterStored(e.ids)
 		return
 	}
+	c.log.Warn().Str("event", "roster_not_written").Int("workers", len(e.ids)).Err(e.err).Send()
 	c.noteStore(e.err)
 	c.recorder.notBefore = c.timer.Now().Add(storePause)
 	for _, i := range e.items {
@@ -237,7 +238,11 @@
 }
 
 func (e jobsRemoved) apply(c *control) {
-	if !c.inTerm(e.term) || e.err != nil {
+	if !c.inTerm(e.term) {
+		return
+	}
+	if e.err != nil {
+		c.log.Warn().Str("event", "jobs_not_removed").Int("jobs", len(e.ids)).Err(e.err).Send()
 		return
 	}
 	for _, id := range e.ids {
