--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -47,10 +47,8 @@
 	// notBefore delays the next try after a failure.
 	notBefore time.Time
 	spread    map[*worker]int
-	// lastRun is the highest run number of a gang.
-	gang gangState
-	// tickets
-	advice adviceState
+	gang      gangState
+	advice    adviceState
 	// rank is that of the last sorting.
 	rank rank
 	// blockedAt is the version of the fleet's room at which the step did not
@@ -58,7 +56,9 @@
 	blockedAt uint64
 }
 
+// gangState is what the members of a gang share.
 type gangState struct {
+	// run is the highest run number of the gang.
 	run      int64
 	failures tanagerwork.FailedRuns
 	saved    string
--- a/tanagerd/tanagercell/commit.go
+++ b/tanagerd/tanagercell/commit.go
@@ -32,13 +32,6 @@
 	open bool
 }
 
-func (s *submission) settle(o outcome) {
-	if o == refused && s.open {
-		o = unsure
-	}
-	s.done <- o
-}
-
 // committer writes accepted jobs, several in one transaction. A transaction that
 // was not answered is sent again: its conditions make that harmless.
 type committer struct {
@@ -162,8 +155,7 @@
 			left = append(left, s)
 			continue
 		}
-		s.open = true
-		s.settle(unsure)
+		s.done <- unsure
 	}
 	return left
 }
@@ -185,14 +177,14 @@
 			left = append(left, s)
 			continue
 		}
-		s.settle(refused)
+		s.done <- refused
 	}
 	return left
 }
 
 func settleAll(batch []*submission, o outcome) {
 	for _, s := range batch {
-		s.settle(o)
+		s.done <- o
 	}
 }
 
@@ -228,7 +220,7 @@
 		} else {
 			c.stored(record)
 		}
-		s.settle(accepted)
+		s.done <- accepted
 	}
 	if len(left) == len(batch) {
 		time.Sleep(conflictPause)
