Read long listings to their end; leave the scheduler's part to a heavy daemon

From 7.0 s to 36.4 s there was no scheduler that decided: one that stopped as planned had appointed the daemon that was started last, on a VM with a 10 Mbit/s link. It read four listings at once, each call was cut at 900 ms in the middle of its answer, and it began again 28 times while it kept its lease.

Change: the time of a call bounds the wait until its answer begins; what follows has a bound of its own, 5 s, the sum of four full pages on the narrowest link. A successor is one of the heaviest daemons, then the one started last.

Left: a scheduler whose takeover keeps failing for other reasons still keeps its lease; it should give it up after some tries.

--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -49,6 +49,9 @@
 	// answer takes milliseconds and a slow store's some hundreds.
 	dialTimeout = 400 * time.Millisecond
 	callTimeout = 900 * time.Millisecond
+	// transferTimeout bounds the rest of an answer: four listings of 1.4 MB at a
+	// time take 4.5 s on the narrowest link, of 10 Mbit/s.
+	transferTimeout = 5 * time.Second
 	// orderTimeout bounds an order to a worker, which answers in milliseconds.
 	orderTimeout = 400 * time.Millisecond
 	// headerTimeout and idleTimeout bound callers' connections.
@@ -93,14 +96,16 @@
 
 func newMember(s tanagersettings.Member, meter *tanagermeter.Meter, log zerolog.Logger) (*tanagercell.Daemon, error) {
 	calls := tanagerplatform.Timeouts{
-		Dial: dialTimeout,
-		Call: callTimeout,
+		Dial:     dialTimeout,
+		Call:     callTimeout,
+		Transfer: transferTimeout,
 	}
 	ports := tanagercell.Ports{
 		Store: tanagerplatform.NewStore(s.Services.Store, calls),
 		Workers: tanagerplatform.NewWorkers(tanagerplatform.Timeouts{
-			Dial: dialTimeout,
-			Call: orderTimeout,
+			Dial:     dialTimeout,
+			Call:     orderTimeout,
+			Transfer: orderTimeout,
 		}),
 		Decoder: tanagerplatform.Decoder{},
 	}
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -202,6 +202,7 @@
 			Deaf:     deaf,
 			UpTime:   now.Sub(c.started),
 			Stopping: c.stopping,
+			Weight:   c.settings.Weight,
 		})
 	}
 }
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -228,3 +228,39 @@
 	c.step(now.Add(7 * time.Millisecond))
 	qt.Assert(t, c.longestGap, qt.Equals, 7*time.Millisecond)
 }
+
+// A scheduler that left its part to a daemon on a narrow link had a successor that
+// could not read the store.
+func TestSuccessorIsHeavyThenNew(t *testing.T) {
+	c := newControl(t)
+	now := c.timer.Now()
+	c.members = map[string]member{
+		"light, new": {
+			heard:   now,
+			started: now,
+			weight:  0.2,
+		},
+		"heavy, old": {
+			heard:   now,
+			started: now.Add(-time.Hour),
+			weight:  0.8,
+		},
+		"heavy, new": {
+			heard:   now,
+			started: now.Add(-time.Minute),
+			weight:  0.8,
+		},
+		"heavy, stopping": {
+			heard:    now,
+			started:  now,
+			stopping: true,
+			weight:   0.8,
+		},
+		"heavy, silent": {
+			heard:   now.Add(-2 * memberTimeout),
+			started: now,
+			weight:  0.8,
+		},
+	}
+	qt.Assert(t, c.successor(), qt.Equals, "heavy, new")
+}
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -34,6 +34,8 @@
 	// UpTime is how long the daemon has run; Stopping ones are about to end.
 	UpTime   time.Duration `json:"up_time"`
 	Stopping bool          `json:"stopping"`
+	// Weight is the daemon's part of a core.
+	Weight float64 `json:"weight"`
 }
 
 // member is a daemon that the scheduler has heard of.
@@ -41,6 +43,7 @@
 	heard    time.Time
 	started  time.Time
 	stopping bool
+	weight   float64
 }
 
 // hintsTold is the scheduler's word on each queue.
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -90,6 +90,7 @@
 		heard:    now,
 		started:  now.Add(-h.UpTime),
 		stopping: h.Stopping,
+		weight:   h.Weight,
 	}
 }
 
--- a/tanagerd/tanagercell/resign.go
+++ b/tanagerd/tanagercell/resign.go
@@ -34,16 +34,18 @@
 	}()
 }
 
-// successor returns the daemon that is to follow, empty if none is known: the one
-// that has run for the shortest time, since a roll of planned stops has been
-// there already.
+// successor returns the daemon that is to follow, empty if none is known: one of
+// the heaviest, since a light one cannot carry the cell's tables; of these the one
+// that has run for the shortest time, since a roll of planned stops has been there
+// already.
 func (c *control) successor() string {
 	best := ""
 	for name, m := range c.members {
 		if name == c.member || c.timer.Now().Sub(m.heard) > memberTimeout || m.stopping {
 			continue
 		}
-		if best == "" || m.started.After(c.members[best].started) {
+		b := c.members[best]
+		if best == "" || m.weight > b.weight || m.weight == b.weight && m.started.After(b.started) {
 			best = name
 		}
 	}
