Hand the scheduler's part over when the store fails it alone

Ruled out: a shorter lease (it would lapse in the brief outages that all daemons share); appointing through the store, as a planned stop does (the store is what is out of reach).

Change: daemons tell the scheduler how fresh and how steady the store's service to them is. A scheduler failed for 0.7 s, or without tables after 3 s, asks the heaviest daemon served meanwhile to stand, and stops. The election stays in the store, on the revisions that both know, so that only one can win. The successor tells the other daemons who leads, since those that the store fails cannot read it. A planned stop whose appointment fails asks the same.

--- a/tanagerd/tanagercell/belief.go
+++ b/tanagerd/tanagercell/belief.go
@@ -1,6 +1,8 @@
 package tanagercell
 
 import (
+	"time"
+
 	"github.com/joomcode/errorx"
 
 	"tanagersail.example/tanager/tanagerport"
@@ -17,6 +19,32 @@
 // storeReached tells that the store served a call, or why it did not.
 type storeReached struct{ err error }
 
+func (e storeReached) apply(c *control) {
+	now := c.timer.Now()
+	up := e.err == nil
+	if up {
+		c.storeServed = now
+	}
+	if up == c.storeUp {
+		return
+	}
+	c.storeUp = up
+	if up {
+		c.storeBack = now
+	} else {
+		c.storeLost = now
+	}
+	c.log.Info().Str("event", "store_reached").Bool("up", up).Err(e.err).Send()
+}
+
+// storeSteady is how long the store has served this daemon without a failure.
+func (c *control) storeSteady(now time.Time) time.Duration {
+	if !c.storeUp {
+		return 0
+	}
+	return now.Sub(c.storeBack)
+}
+
 type operatorRead struct{ page tanagerport.Page }
 
 // waveRead reports whether an item was a wave, and adds it.
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -55,6 +55,10 @@
 	term    uint64
 	loading bool
 	waiting []event
+	// termBegan is when the present or last term began; heirOf are the daemons
+	// to tell when this one is elected in place of one that handed over.
+	termBegan time.Time
+	heirOf    []string
 	// waves are those that the operator has written; machinesRead is when the
 	// list of machines was last asked for.
 	waves           map[int]tanagerport.Wave
@@ -82,10 +86,15 @@
 	helloAt   time.Time
 	hintsAt   time.Time
 	hints     map[string]tanagerdispatch.Hint
-	storeUp   bool
-	stopping  bool
-	questions map[uint64]chan stateTold
-	forwards  map[uint64]chan tanagerport.Reply
+	// storeUp tells whether the last call to the store was served, storeServed
+	// when one last was, storeLost and storeBack when that last changed.
+	storeUp     bool
+	storeServed time.Time
+	storeLost   time.Time
+	storeBack   time.Time
+	stopping    bool
+	questions   map[uint64]chan stateTold
+	forwards    map[uint64]chan tanagerport.Reply
 	// resets are the last resets of connections, by member.
 	resets map[string]time.Time
 	asked  uint64
@@ -189,6 +198,7 @@
 func (c *control) follow(now time.Time) {
 	if c.leading() {
 		c.renew(now)
+		c.considerHandOver(now)
 	} else {
 		c.considerStanding(now)
 	}
@@ -203,6 +213,9 @@
 			UpTime:   now.Sub(c.started),
 			Stopping: c.stopping,
 			Weight:   c.settings.Weight,
+
+			StoreAge:    now.Sub(c.storeServed),
+			StoreSteady: c.storeSteady(now),
 		})
 	}
 }
@@ -224,6 +237,7 @@
 	}
 	if e.err == nil {
 		c.renewedAt = c.timer.Now()
+		c.storeServed = c.renewedAt
 	}
 	if e.ended {
 		c.log.Warn().Str("event", "leadership_lapsed").Uint64("epoch", c.lead.epoch).Send()
@@ -235,6 +249,7 @@
 func (e stood) apply(c *control) {
 	c.standing = false
 	if e.err != nil {
+		c.heirOf = nil
 		c.log.Info().Str("event", "election_lost").Err(e.err).Send()
 		for _, i := range e.items {
 			if i.Revision != 0 {
@@ -250,18 +265,10 @@
 	c.lead.holderRevision = e.won.holderRevision
 	c.lead.epoch = e.won.holder.Epoch
 	c.lead.epochRevision = e.won.epochRevision
+	c.tellLead()
 	c.leadChanged()
 }
 
-func (e storeReached) apply(c *control) {
-	up := e.err == nil
-	if up == c.storeUp {
-		return
-	}
-	c.storeUp = up
-	c.log.Info().Str("event", "store_reached").Bool("up", up).Err(e.err).Send()
-}
-
 func (e leadRead) apply(c *control) {
 	first := !c.lead.known
 	c.lead.known = true
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -16,7 +16,11 @@
 	"tanagersail.example/tanager/tanagerwire"
 )
 
-const self = "10.0.0.1:1/self"
+const (
+	self = "10.0.0.1:1/self"
+	// testTimeout ends a test that would wait for ever.
+	testTimeout = time.Minute
+)
 
 // silentStore answers nothing until its caller gives up.
 type silentStore struct{}
@@ -72,24 +76,33 @@
 }
 func (noDecoder) WaveStatus(int, bool) (string, []byte, error) { return "", nil, nil }
 
-// newControl returns a control whose goroutines end with the test.
-func newControl(t *testing.T) *control {
+// newControl returns a control without a store, whose goroutines end with the test.
+func newControl(t *testing.T) *control { return newMember(t, self, silentStore{}) }
+
+func newMember(t *testing.T, member string, store Store) *control {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	timer := tanagertimer.NewManual(time.Unix(1_700_000_000, 0))
 	c := &control{
 		settings: Settings{LeaderTTL: 2 * time.Second},
 		ports: Ports{
-			Store:   silentStore{},
+			Store:   store,
 			Decoder: noDecoder{},
 		},
-		timer:     timer,
-		log:       zerolog.Nop(),
-		transport: tanagerpeer.New(tanagerpeer.Settings{Self: self, InboxLength: 8, QueueLength: 8}, Directory{}),
-		member:    self,
+		timer: timer,
+		log:   zerolog.Nop(),
+		transport: tanagerpeer.New(tanagerpeer.Settings{
+			Self:         member,
+			Token:        "token",
+			InboxLength:  8,
+			QueueLength:  8,
+			DialTimeout:  testTimeout,
+			WriteTimeout: testTimeout,
+		}, Directory{}),
+		member: member,
 		candidate: &candidate{
-			store:  silentStore{},
-			member: self,
+			store:  store,
+			member: member,
 		},
 		random:    rand.New(rand.NewPCG(1, 1)),
 		ctx:       ctx,
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -68,6 +68,7 @@
 		fleet:     make(map[string]tanagerport.WorkerEntry),
 		hints:     make(map[string]tanagerdispatch.Hint),
 		storeUp:   true,
+		storeBack: timer.Now(),
 		questions: make(map[uint64]chan stateTold),
 		forwards:  make(map[uint64]chan tanagerport.Reply),
 		resets:    make(map[string]time.Time),
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -22,6 +22,8 @@
 	topicAdviceTold   = "cell.advice.told"
 	topicForwarded    = "cell.forwarded"
 	topicForwardTold  = "cell.forward.told"
+	topicHandOver     = "cell.hand_over"
+	topicLeadTold     = "cell.lead.told"
 	memberSeparator   = "/"
 	memberSuffixBytes = 8
 )
@@ -36,6 +38,10 @@
 	Stopping bool          `json:"stopping"`
 	// Weight is the daemon's part of a core.
 	Weight float64 `json:"weight"`
+	// StoreAge is the time since the store last served the daemon, StoreSteady
+	// how long it has done so without a failure, zero while it fails.
+	StoreAge    time.Duration `json:"store_age"`
+	StoreSteady time.Duration `json:"store_steady"`
 }
 
 // member is a daemon that the scheduler has heard of.
@@ -44,6 +50,10 @@
 	started  time.Time
 	stopping bool
 	weight   float64
+	// served is when the store last served it, servedSince since when it has
+	// without a failure.
+	served      time.Time
+	servedSince time.Time
 }
 
 // hintsTold is the scheduler's word on each queue.
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -41,6 +41,10 @@
 		err = handle(m, func(f forwarded) { c.serveForwarded(from, f) })
 	case topicForwardTold:
 		err = handle(m, func(t forwardTold) { c.answerForwarded(t) })
+	case topicHandOver:
+		err = handle(m, func(h handOver) { c.handedOver(from, h) })
+	case topicLeadTold:
+		err = handle(m, func(t leadTold) { c.leadLearnedFrom(t) })
 	case topicAdviceAsked:
 		err = handle(m, func(a adviceAsked) { c.advise(from, a) })
 	case topicAdviceTold:
@@ -87,10 +91,12 @@
 	}
 	now := c.timer.Now()
 	c.members[from] = member{
-		heard:    now,
-		started:  now.Add(-h.UpTime),
-		stopping: h.Stopping,
-		weight:   h.Weight,
+		heard:       now,
+		started:     now.Add(-h.UpTime),
+		stopping:    h.Stopping,
+		weight:      h.Weight,
+		served:      now.Add(-h.StoreAge),
+		servedSince: now.Add(-h.StoreSteady),
 	}
 }
 
--- a/tanagerd/tanagercell/resign.go
+++ b/tanagerd/tanagercell/resign.go
@@ -104,6 +104,9 @@
 
 func (e resigned) apply(c *control) {
 	if c.cell != nil {
+		if e.err != nil {
+			c.askToFollow(c.served(c.timer.Now(), c.storeLost))
+		}
 		c.depose("planned stop")
 	}
 	if e.err == nil {
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -25,6 +25,7 @@
 // first, and what daemons send meanwhile waits.
 func (c *control) takeOver() {
 	c.term++
+	c.termBegan = c.timer.Now()
 	c.loading = true
 	c.recorder = newRecorder()
 	c.members = make(map[string]member)
