--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -189,6 +189,10 @@
 			return known
 		}
 	}
+	policy := s.job.queue.config.Advice
+	if c.freeAdviser(policy.Decision+time.Duration(min(c.leastWidth(s), len(c.usable)))*policy.Each) == nil {
+		return nil
+	}
 	var found []candidate
 	for _, w := range c.usable {
 		if c.suits(w, s) && !s.advice.asked[w.id] {
@@ -225,21 +229,25 @@
 	return names
 }
 
-// adviceWidth returns how many workers to ask about. For single tasks it keeps the
-// call short; a gang needs room at one moment, so a choice that is as wide as one
-// call allows.
-func (c *Cell) adviceWidth(s *step, found []candidate) int {
+// leastWidth is how many workers a call names at least, if there are so many. For
+// single tasks it keeps the call short; a gang needs room at one moment, so a choice
+// that is as wide as one call allows.
+func (c *Cell) leastWidth(s *step) int {
 	policy := s.job.queue.config.Advice
-	width := tanagerport.MaxAdviceWorkers
-	if policy.Each > 0 && !s.spec.Gang {
-		width = int(policy.Decision / policy.Each)
+	if policy.Each == 0 || s.spec.Gang {
+		return tanagerport.MaxAdviceWorkers
 	}
+	return int(policy.Decision / policy.Each)
+}
+
+// adviceWidth returns how many of the workers that were found to ask about.
+func (c *Cell) adviceWidth(s *step, found []candidate) int {
 	most := 1
 	if len(found) > 0 {
 		most = max(found[0].copies, 1)
 	}
 	needed := float64(len(s.tasks)) / float64(most) / s.job.queue.goodShare
-	return min(max(width, int(math.Ceil(askFactor*needed))), tanagerport.MaxAdviceWorkers)
+	return min(max(c.leastWidth(s), int(math.Ceil(askFactor*needed))), tanagerport.MaxAdviceWorkers)
 }
 
 // AdviceAnswered applies the answer to a call for advice.
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -38,6 +38,8 @@
 	// inflation is the running average of how much longer than their estimates
 	// tasks take.
 	inflation float64
+	// surveyed is when each run was last looked at.
+	surveyed time.Time
 	// reservedAt is when reservations were last made.
 	reservedAt time.Time
 	hints      map[string]Hint
@@ -253,10 +255,17 @@
 	c.dueOccurrences()
 	c.evacuate()
 	c.upkeep()
-	c.watchProgress()
-	c.resendStops()
+	if c.now.Sub(c.surveyed) >= surveyInterval {
+		c.surveyed = c.now
+		c.watchProgress()
+		c.resendStops()
+		c.adjustPace()
+	}
 	c.schedule()
-	c.adjustPace()
 	c.updateHints()
 	c.pollWorkers()
 }
+
+// surveyInterval spaces the systems that look at each run: the shortest time that
+// one of them waits for is stopRetry.
+const surveyInterval = 80 * time.Millisecond
--- a/tanager/tanagerdispatch/order.go
+++ b/tanager/tanagerdispatch/order.go
@@ -147,9 +147,20 @@
 
 // findUsable lists the workers that may get new work.
 func (c *Cell) findUsable() {
-	c.usable = c.usable[:0]
+	count, changed := 0, false
 	for _, w := range c.workers {
+		before := w.usable
 		w.usable = c.inUse(w)
+		changed = changed || w.usable != before
+		if w.usable {
+			count++
+		}
+	}
+	if !changed && count == len(c.usable) {
+		return
+	}
+	c.usable = c.usable[:0]
+	for _, w := range c.workers {
 		if w.usable {
 			c.usable = append(c.usable, w)
 		}
--- a/tanager/tanagerdispatch/predecessor.go
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -42,27 +42,40 @@
 	return true
 }
 
-// Roster returns the workers that a successor has to account for, and whether
-// the stored roster has others. Workers that are silent are left out once their
-// leases are over, so that a successor need not wait for them: before that they
-// may list ends of runs that are not acknowledged.
-func (c *Cell) Roster() (ids []string, changed bool) {
-	for id, w := range c.workers {
-		wanted := len(w.attempts) > 0 || w.listed && w.misses < rosterMisses || !c.leaseOver(w)
-		if _, awaited := c.unaccounted[id]; awaited {
-			wanted = true
+// RosterChanged reports whether the stored roster has others than Roster returns.
+func (c *Cell) RosterChanged() bool {
+	for _, w := range c.workers {
+		if c.wantedInRoster(w) != w.rostered {
+			return true
 		}
-		if wanted {
+	}
+	return false
+}
+
+// Roster returns the workers that a successor has to account for. Workers that are
+// silent are left out once their leases are over, so that a successor need not wait
+// for them: before that they may list ends of runs that are not acknowledged.
+func (c *Cell) Roster() []string {
+	var ids []string
+	for id, w := range c.workers {
+		if c.wantedInRoster(w) {
 			ids = append(ids, id)
 		}
-		changed = changed || wanted != w.rostered
 	}
 	for id := range c.unaccounted {
 		if c.workers[id] == nil {
 			ids = append(ids, id)
 		}
 	}
-	return ids, changed
+	return ids
+}
+
+func (c *Cell) wantedInRoster(w *worker) bool {
+	if len(w.attempts) > 0 || w.listed && w.misses < rosterMisses || !c.leaseOver(w) {
+		return true
+	}
+	_, awaited := c.unaccounted[w.id]
+	return awaited
 }
 
 // rosterMisses is how many polls in a row a worker leaves unanswered before it
--- a/tanager/tanagerdispatch/rules_test.go
+++ b/tanager/tanagerdispatch/rules_test.go
@@ -228,7 +228,7 @@
 		b.tick(100 * time.Millisecond)
 		b.silence("a")
 		b.answer(tanagerport.Report{})
-		ids, _ := b.cell.Roster()
+		ids := b.cell.Roster()
 		if !slices.Contains(ids, "a") {
 			left = b.now.Sub(fell)
 			break
--- a/tanager/tanagerdispatch/worker_test.go
+++ b/tanager/tanagerdispatch/worker_test.go
@@ -70,7 +70,7 @@
 
 func (b *bench) workers(entries ...tanagerport.WorkerEntry) {
 	b.cell.SetWorkers(b.now, entries)
-	ids, _ := b.cell.Roster()
+	ids := b.cell.Roster()
 	b.cell.RosterStored(ids)
 }
 
--- a/tanager/tanagerreplay/schedulers.go
+++ b/tanager/tanagerreplay/schedulers.go
@@ -35,7 +35,7 @@
 	}, 1, now)
 	d.Configure(d.load.Configuration())
 	d.SetWorkers(now, d.load.Entries())
-	ids, _ := d.Roster()
+	ids := d.Roster()
 	d.RosterStored(ids)
 	var advisers []string
 	for i := range d.load.Advisers {
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -157,7 +157,8 @@
 }
 
 func (c *control) schedule(now time.Time) {
-	if now.Sub(c.ticked) >= tickGap {
+	ticks := now.Sub(c.ticked) >= tickGap
+	if ticks {
 		c.ticked = now
 		c.cell.Tick(now)
 	}
@@ -167,7 +168,9 @@
 		c.depose("a worker has seen a higher epoch")
 		return
 	}
-	c.storeRoster()
+	if ticks {
+		c.storeRoster()
+	}
 	c.flush(now)
 	c.removeExpired(c.ctx, now)
 	c.tellHints(now)
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -137,10 +137,10 @@
 	if r.rosterInFlight || c.timer.Now().Before(r.notBefore) {
 		return
 	}
-	ids, changed := c.cell.Roster()
-	if !changed {
+	if !c.cell.RosterChanged() {
 		return
 	}
+	ids := c.cell.Roster()
 	r.rosterInFlight = true
 	t := tanagerport.Transaction{
 		Expect: []tanagerport.Expectation{
