Bound the scheduler's polls of idle workers and its first contacts

A real scheduler against a stand-in with 3,000 workers used 2.0 cores, of which its VM allows 0.4: each idle worker was polled once a second, and a new scheduler contacted all of them at once.

Change: first contacts are at most 128 at a time; polls of workers that run nothing are spread to 350 a second over the fleet, with a pause of at most 3 s, so that their leases go on. Below 350 workers nothing changes. A worker that gets a task is polled at once, as before.

Tests fail with each part taken out.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -38,6 +38,8 @@
 	// inflation is the running average of how much longer than their estimates
 	// tasks take.
 	inflation float64
+	// idlePause is the pause between the polls of a worker that runs nothing.
+	idlePause time.Duration
 	// surveyed is when each run was last looked at.
 	surveyed time.Time
 	// reservedAt is when reservations were last made.
@@ -257,6 +259,7 @@
 	c.upkeep()
 	if c.now.Sub(c.surveyed) >= surveyInterval {
 		c.surveyed = c.now
+		c.spreadIdlePolls()
 		c.watchProgress()
 		c.resendStops()
 		c.adjustPace()
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -1,6 +1,9 @@
 package tanagerdispatch
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // The side weights are how much longer, as a share of its time, a task may take to
 // stay away from the end of the fleet where gangs find whole workers. Urgent tasks
@@ -104,7 +107,15 @@
 // inUse reports whether a worker may get new work.
 func (c *Cell) inUse(w *worker) bool {
 	return w.listed && w.rostered && w.synced && !w.entry.Draining && w.cordonedAt.IsZero() &&
-		c.now.Sub(w.heard) < silentAfter && !c.now.Before(w.health.avoidUntil)
+		c.now.Sub(w.heard) < silentAfter+c.idleSilence(w) && !c.now.Before(w.health.avoidUntil)
+}
+
+// idleSilence is how long a worker is not asked because it runs nothing.
+func (c *Cell) idleSilence(w *worker) time.Duration {
+	if len(w.attempts) > 0 {
+		return 0
+	}
+	return c.idlePause
 }
 
 // spreadLeft returns how many more tasks of a step a worker may run.
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -15,12 +15,26 @@
 	version int64
 }
 
-// pollWorkers orders the polls that are due.
+// pollWorkers orders the polls that are due. Load pattern: a new scheduler of
+// thousands of workers, whose first polls would keep its processor from renewing
+// its lease; so few first contacts are under way at a time.
 func (c *Cell) pollWorkers() {
+	contacts := 0
+	for _, w := range c.workers {
+		if w.polling && !w.synced && w.misses == 0 {
+			contacts++
+		}
+	}
 	for id, w := range c.workers {
 		if w.polling || c.now.Before(w.pollDue) || c.awaitsStore(w) {
 			continue
 		}
+		if !w.synced && w.misses == 0 {
+			if contacts >= maxContacts {
+				continue
+			}
+			contacts++
+		}
 		_, awaited := c.unaccounted[id]
 		if !w.listed && len(w.attempts) == 0 && !awaited {
 			continue
@@ -88,6 +102,9 @@
 	w.misses = 0
 	w.heard = now
 	w.pollDue = now.Add(pollGap)
+	if len(w.attempts) == 0 && len(r.Running) == 0 && len(r.Ended) == 0 {
+		w.pollDue = now.Add(max(c.idlePause, pollGap))
+	}
 	if r.Life > w.life {
 		c.reborn(w, r.Life, "it reports a later life")
 	}
@@ -99,6 +116,19 @@
 	c.applyRunning(w, r, sent)
 }
 
+// spreadIdlePolls spreads the polls of workers that run nothing, so that their number a second
+// does not grow with the fleet.
+func (c *Cell) spreadIdlePolls() {
+	idle := 0
+	for _, w := range c.workers {
+		if w.synced && len(w.attempts) == 0 {
+			idle++
+		}
+	}
+	pause := time.Duration(idle)*time.Second/idlePollRate - pollWait
+	c.idlePause = min(max(pause, 0), mostIdlePause)
+}
+
 func (c *Cell) pollFailed(w *worker, epoch uint64, v tanagerport.Verdict, err error) {
 	w.misses++
 	w.pollDue = c.now.Add(pollRetry * time.Duration(min(w.misses, 4)))
--- /dev/null
+++ b/tanager/tanagerdispatch/poll_test.go
@@ -0,0 +1,98 @@
+package tanagerdispatch
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerport"
+)
+
+func fleet(n int) []tanagerport.WorkerEntry {
+	var entries []tanagerport.WorkerEntry
+	for i := range n {
+		entries = append(entries, testWorker("w"+strconv.Itoa(i), 1))
+	}
+	return entries
+}
+
+// polls counts the polls of a time in which each is answered when its wait is over,
+// and returns the least number of workers that were usable meanwhile.
+func (b *bench) polls(d time.Duration) (count, usable int) {
+	usable = len(b.cell.workers)
+	due := make(map[string]time.Time)
+	for end := b.now.Add(d); b.now.Before(end); {
+		var open []PollOrder
+		for _, o := range b.open {
+			switch until, seen := due[o.Worker.ID]; {
+			case !seen:
+				due[o.Worker.ID] = b.now.Add(o.Poll.Wait)
+				open = append(open, o)
+			case b.now.Before(until):
+				open = append(open, o)
+			default:
+				delete(due, o.Worker.ID)
+				b.report(o, tanagerport.Report{})
+			}
+		}
+		b.open = open
+		count += len(b.tick(100 * time.Millisecond).Polls)
+		usable = min(usable, len(b.cell.usable))
+	}
+	return count, usable
+}
+
+// A new scheduler of thousands of workers spent its lease on their first polls,
+// lost it, and so did each that followed.
+func TestFirstContactsAreSpread(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(fleet(1000)...)
+	b.tick(time.Millisecond)
+	b.c.Assert(b.out.Polls, qt.HasLen, maxContacts)
+	// Those that are silent keep no place of the others.
+	for len(b.open) > 0 {
+		b.silence(b.open[0].Worker.ID)
+	}
+	b.c.Assert(b.tick(2*pollRetry).Polls, qt.HasLen, 2*maxContacts)
+}
+
+// Workers that run nothing cost a bounded number of polls, and stay usable.
+func TestIdlePollsDoNotGrowWithTheFleet(t *testing.T) {
+	for _, n := range []int{100, 1000} {
+		b := newBench(t, 1)
+		b.workers(fleet(n)...)
+		for range 2 + n/maxContacts {
+			b.sync()
+		}
+		b.polls(8 * time.Second)
+		const seconds = 12
+		count, usable := b.polls(seconds * time.Second)
+		rate := float64(count) / seconds
+		b.c.Check(rate <= 1.1*idlePollRate, qt.IsTrue, qt.Commentf("%d workers: %.0f polls a second", n, rate))
+		b.c.Check(usable, qt.Equals, n)
+	}
+}
+
+// A worker that gets a task is polled at once, whatever its pause was.
+func TestPauseEndsWithTheFirstRun(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(fleet(1000)...)
+	for range 10 {
+		b.sync()
+	}
+	b.polls(8 * time.Second)
+	// A worker with an open poll is covered by that one.
+	for len(b.open) > 0 {
+		b.report(b.open[0], tanagerport.Report{})
+		b.open = b.open[1:]
+	}
+	start := b.add(testRecord("01", testStep(1, 1000)))[0]
+	b.tick(2 * pollGap)
+	polled := false
+	for _, o := range b.open {
+		polled = polled || o.Worker.ID == start.Worker.ID
+	}
+	b.c.Assert(polled, qt.IsTrue)
+}
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -32,6 +32,9 @@
 	}
 	s.spread[w]++
 	w.hold(a)
+	if soon := c.now.Add(pollGap); w.misses == 0 && w.pollDue.After(soon) {
+		w.pollDue = soon
+	}
 	return a
 }
 
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -30,6 +30,15 @@
 	// pollGap spaces the polls of one worker, so that ends that are close
 	// together share an answer.
 	pollGap = 25 * time.Millisecond
+	// maxContacts bounds the workers that are polled for the first time in a term
+	// or a life: some milliseconds of processor time.
+	maxContacts = 128
+	// idlePollRate is how many polls a second all workers that run nothing get,
+	// where one a second each would be more: a fifth of a core at the measured
+	// 0.6 ms a poll. A pause of mostIdlePause, with the poll's wait, leaves a
+	// second of the lease.
+	idlePollRate  = 350
+	mostIdlePause = 3 * time.Second
 	// storeWait bounds how long a poll waits until the last ends are stored: some
 	// writes, so that a slow store does not hide further ends.
 	storeWait = 120 * time.Millisecond
