Let idle workers wait beyond their lease, and large cells say hello less

Cause: with 3,000 workers the scheduler still used 47% of a core of the 40% that it has: a pause of idle workers that ended with their lease leaves 750 polls a second, and 300 daemons say hello and are told hints five times a second each.

Change: a worker that runs nothing needs no lease, so its pause may be 10 s and its poll rate stays at 350 a second over the fleet; a start brings its own lease. Above 100 daemons hellos and hints come every 400 ms, as the scheduler asks for.

--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -81,7 +81,7 @@
 // and forgets workers that have left.
 func (c *Cell) expireLeases() {
 	for id, w := range c.workers {
-		if c.lapsed(w) {
+		if c.lapsed(w) && !c.pausesIdle(w) {
 			c.loseRuns(w, "lease ran out")
 			w.synced = false
 			w.giveUpAt = time.Time{}
@@ -93,6 +93,12 @@
 	}
 }
 
+// pausesIdle reports whether a worker needs no lease: it runs nothing, and is not
+// asked for a time because of that. A start brings its own lease.
+func (c *Cell) pausesIdle(w *worker) bool {
+	return w.synced && w.misses == 0 && len(w.attempts) == 0 && c.now.Sub(w.heard) < silentAfter+c.idlePause
+}
+
 // lapsed reports whether a worker's lease has certainly run out. One that has
 // begun a new life and not answered since holds no lease of this scheduler, other
 // than from orders that were on their way.
--- a/tanager/tanagerdispatch/poll_test.go
+++ b/tanager/tanagerdispatch/poll_test.go
@@ -18,12 +18,13 @@
 	return entries
 }
 
-// polls counts the polls of a time in which each is answered when its wait is over,
-// and returns the least number of workers that were usable meanwhile.
-func (b *bench) polls(d time.Duration) (count, usable int) {
+// polls lets time pass in which each poll is answered when its wait is over. After
+// a warm-up it counts them, and the least number of workers that were usable.
+func (b *bench) polls(warm, measured time.Duration) (count, usable int) {
 	usable = len(b.cell.workers)
 	due := make(map[string]time.Time)
-	for end := b.now.Add(d); b.now.Before(end); {
+	begins := b.now.Add(warm)
+	for end := begins.Add(measured); b.now.Before(end); {
 		var open []PollOrder
 		for _, o := range b.open {
 			switch until, seen := due[o.Worker.ID]; {
@@ -38,8 +39,11 @@
 			}
 		}
 		b.open = open
-		count += len(b.tick(100 * time.Millisecond).Polls)
-		usable = min(usable, len(b.cell.usable))
+		polls := b.tick(100 * time.Millisecond).Polls
+		if b.now.After(begins) {
+			count += len(polls)
+			usable = min(usable, len(b.cell.usable))
+		}
 	}
 	return count, usable
 }
@@ -60,15 +64,14 @@
 
 // Workers that run nothing cost a bounded number of polls, and stay usable.
 func TestIdlePollsDoNotGrowWithTheFleet(t *testing.T) {
-	for _, n := range []int{100, 1000} {
+	for _, n := range []int{100, 1000, 3000} {
 		b := newBench(t, 1)
 		b.workers(fleet(n)...)
 		for range 2 + n/maxContacts {
 			b.sync()
 		}
-		b.polls(8 * time.Second)
-		const seconds = 12
-		count, usable := b.polls(seconds * time.Second)
+		const seconds = 20
+		count, usable := b.polls(12*time.Second, seconds*time.Second)
 		rate := float64(count) / seconds
 		b.c.Check(rate <= 1.1*idlePollRate, qt.IsTrue, qt.Commentf("%d workers: %.0f polls a second", n, rate))
 		b.c.Check(usable, qt.Equals, n)
@@ -82,7 +85,7 @@
 	for range 10 {
 		b.sync()
 	}
-	b.polls(8 * time.Second)
+	b.polls(8*time.Second, 0)
 	// A worker with an open poll is covered by that one.
 	for len(b.open) > 0 {
 		b.report(b.open[0], tanagerport.Report{})
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -35,10 +35,10 @@
 	maxContacts = 128
 	// idlePollRate is how many polls a second all workers that run nothing get,
 	// where one a second each would be more: a fifth of a core at the measured
-	// 0.6 ms a poll. A pause of mostIdlePause, with the poll's wait, leaves a
-	// second of the lease.
+	// 0.6 ms a poll. mostIdlePause bounds how late a worker that stays listed and
+	// answers nothing is noticed.
 	idlePollRate  = 350
-	mostIdlePause = 3 * time.Second
+	mostIdlePause = 10 * time.Second
 	// storeWait bounds how long a poll waits until the last ends are stored: some
 	// writes, so that a slow store does not hide further ends.
 	storeWait = 120 * time.Millisecond
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -84,8 +84,10 @@
 	renewedAt time.Time
 	lastRenew time.Time
 	helloAt   time.Time
-	hintsAt   time.Time
-	hints     map[string]tanagerdispatch.Hint
+	// helloEvery is what the scheduler last asked for.
+	helloEvery time.Duration
+	hintsAt    time.Time
+	hints      map[string]tanagerdispatch.Hint
 	// storeUp tells whether the last call to the store was served, storeServed
 	// when one last was, storeLost and storeBack when that last changed.
 	storeUp     bool
@@ -205,7 +207,7 @@
 	} else {
 		c.considerStanding(now)
 	}
-	if now.Sub(c.helloAt) >= helloInterval && c.lead.holder.Member != "" {
+	if now.Sub(c.helloAt) >= max(c.helloEvery, helloInterval) && c.lead.holder.Member != "" {
 		c.helloAt = now
 		deaf := now.Sub(c.hintsAt) > memberTimeout
 		if deaf {
@@ -353,12 +355,17 @@
 
 // tellHints sends each daemon the hints, and forgets daemons that are silent.
 func (c *control) tellHints(now time.Time) {
-	if now.Sub(c.lastHints) < helloInterval {
+	every := helloInterval
+	if len(c.members) > manyMembers {
+		every *= slowFactor
+	}
+	if now.Sub(c.lastHints) < every {
 		return
 	}
 	c.lastHints = now
 	hints, _ := c.cell.Hints()
 	told := hintsTold{
+		Every: every,
 		Epoch: c.cell.Epoch(),
 		Hints: hints,
 	}
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -277,3 +278,44 @@
 	}
 	qt.Assert(t, c.successor(), qt.Equals, "heavy, new")
 }
+
+// In a large cell the hellos and hints of all daemons would take much of the
+// scheduler's processor.
+func TestManyDaemonsSayHelloLessOften(t *testing.T) {
+	for members, want := range map[int]time.Duration{
+		manyMembers:     helloInterval,
+		manyMembers + 1: slowFactor * helloInterval,
+	} {
+		c := newControl(t)
+		c.leads(1)
+		for i := range members {
+			c.hears("127.0.0.1:1/"+strconv.Itoa(i), 0.5, 0, 0)
+		}
+		c.tellHints(c.timer.Now())
+		told := c.lastHints
+		c.advance(helloInterval)
+		c.tellHints(c.timer.Now())
+		qt.Check(t, c.lastHints.After(told), qt.Equals, want == helloInterval)
+		c.advance(helloInterval)
+		c.tellHints(c.timer.Now())
+		qt.Check(t, c.lastHints, qt.Equals, c.timer.Now())
+	}
+}
+
+func TestDaemonsKeepTheAskedPause(t *testing.T) {
+	c := newControl(t)
+	c.learnLead(epochItem(1, 10))
+	c.learnLead(holderItem("127.0.0.1:1/other", 1, 10))
+	c.hintsReceived(hintsTold{
+		Epoch: 1,
+		Every: slowFactor * helloInterval,
+	})
+	c.follow(c.timer.Now())
+	first := c.helloAt
+	c.advance(helloInterval)
+	c.follow(c.timer.Now())
+	qt.Assert(t, c.helloAt, qt.Equals, first)
+	c.advance(helloInterval)
+	c.follow(c.timer.Now())
+	qt.Assert(t, c.helloAt, qt.Equals, c.timer.Now())
+}
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -58,6 +58,8 @@
 
 // hintsTold is the scheduler's word on each queue.
 type hintsTold struct {
+	// Every is how often daemons are to say hello.
+	Every time.Duration                   `json:"every"`
 	Epoch uint64                          `json:"epoch"`
 	Hints map[string]tanagerdispatch.Hint `json:"hints"`
 }
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -105,6 +105,7 @@
 		return
 	}
 	c.hints = h.Hints
+	c.helloEvery = min(h.Every, slowFactor*helloInterval)
 	c.hintsAt = c.timer.Now()
 }
 
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -62,6 +62,11 @@
 	memberTimeout = 1200 * time.Millisecond
 	// loadInterval spaces the summaries in the log.
 	loadInterval = time.Second
+	// In a cell of more than manyMembers helloInterval is slowFactor times as long:
+	// the scheduler gets and sends as many messages, and must not spend a quarter
+	// of a core on them.
+	manyMembers = 100
+	slowFactor  = 2
 	// writeGap spaces writes of progress, so that changes share a transaction.
 	writeGap = 30 * time.Millisecond
 	// writesInFlight bounds the transactions of progress on their way.
