Put relays into the soak's connections

The soak had no faults of connections. Each daemon of a run now has a relay in front of its peers' address and one to the store, which delay, reset or silence connections, one way or both; a silenced direction keeps its bytes, as a lossy network does to a connection that lives on. Members of a cell get the setting peer_listen, as `run` has it.

--- a/soak/main.go
+++ b/soak/main.go
@@ -27,6 +27,7 @@
 	daemons := app.Flag("daemons", "Daemons of a run.").Default("4").Int()
 	workers := app.Flag("workers", "Workers of a run.").Default("10").Int()
 	length := app.Flag("length", "Time during which faults are injected.").Default("8s").Duration()
+	links := app.Flag("links", "Inject faults of connections too.").Default("true").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failed := 0
 	for seed := *first; seed < *first+*seeds; seed++ {
@@ -37,6 +38,7 @@
 			Workers: *workers,
 			Length:  *length,
 			Settle:  90 * time.Second,
+			Links:   *links,
 		})
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
--- a/soak/tanagersoak/daemon.go
+++ b/soak/tanagersoak/daemon.go
@@ -1,6 +1,7 @@
 package tanagersoak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -14,6 +15,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"tanagersail.example/tanagerfake/tanagerrelay"
 )
 
 // Errors is the namespace of this package's errors.
@@ -28,6 +31,7 @@
   caller_address: "%s"
   readiness_address: "%s"
   peer_address: "%s"
+  peer_listen: "%s"
   metrics_address: "%s"
   peer_token: "soak"
 services:
@@ -55,8 +59,11 @@
 	log      string
 	callers  netip.AddrPort
 	ready    netip.AddrPort
-	command  *exec.Cmd
-	ended    chan struct{}
+	// links passes on what other daemons send to this one, stores what it sends to
+	// the store.
+	links, stores *tanagerrelay.Relay
+	command       *exec.Cmd
+	ended         chan struct{}
 
 	mu sync.Mutex
 	// claimed daemons are being stopped or paused.
@@ -102,7 +109,7 @@
 }
 
 func newDaemon(binary, folder, name string, store, advice netip.AddrPort) (*daemon, error) {
-	var a [4]netip.AddrPort
+	var a [6]netip.AddrPort
 	for i := range a {
 		var err error
 		if a[i], err = freeAddress(); err != nil {
@@ -117,10 +124,28 @@
 		callers:  a[0],
 		ready:    a[1],
 	}
-	content := fmt.Sprintf(settingsForm, name, a[0], a[1], a[2], a[3], store, advice)
+	var err error
+	if d.links, err = relay(a[2], a[3]); err != nil {
+		return nil, err
+	}
+	if d.stores, err = relay(a[5], store); err != nil {
+		return nil, err
+	}
+	content := fmt.Sprintf(settingsForm, name, a[0], a[1], a[2], a[3], a[4], a[5], advice)
 	return d, os.WriteFile(d.settings, []byte(content), 0o600)
 }
 
+// relay passes connections on until the soak's process ends.
+func relay(at, to netip.AddrPort) (*tanagerrelay.Relay, error) {
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, err
+	}
+	r := tanagerrelay.New(to)
+	go r.Run(context.Background(), listener)
+	return r, nil
+}
+
 // The ports of daemons lie below those that the system gives to outgoing
 // connections, which could take one while its daemon is being started again.
 const (
--- a/soak/tanagersoak/soak.go
+++ b/soak/tanagersoak/soak.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"tanagersail.example/tanagerfake/tanagerrelay"
 	"tanagersail.example/tanagerfake/tanagersite"
 )
 
@@ -21,6 +22,9 @@
 	// Length is how long faults are injected, Settle how long the jobs may take
 	// to end after that.
 	Length, Settle time.Duration
+	// Links adds faults of connections. Without them the schedule of a seed is as
+	// it was before there were any.
+	Links bool
 }
 
 // Report is what a run saw.
@@ -149,7 +153,7 @@
 }
 
 func (c *cell) kinds() []fault {
-	return []fault{
+	kinds := []fault{
 		{name: "kill", inject: func(d time.Duration) { c.stopDaemon(syscall.SIGKILL, d/4) }},
 		{name: "kill_all", inject: c.killAll},
 		{name: "term", inject: func(d time.Duration) { c.stopDaemon(syscall.SIGTERM, d/4) }},
@@ -173,6 +177,25 @@
 		{name: "configuration", inject: func(time.Duration) { c.site.Configure() }},
 		{name: "foreign_entry", inject: func(time.Duration) { c.site.Write("servers/other", []byte(`{"service":7}`)) }},
 	}
+	if c.settings.Links {
+		kinds = append(kinds, c.linkKinds()...)
+	}
+	return kinds
+}
+
+// linkKinds are the faults of connections, by the relays in front of each daemon
+// and between it and the store.
+func (c *cell) linkKinds() []fault {
+	return []fault{
+		{name: "link_slow", inject: func(d time.Duration) { c.link(tanagerrelay.Fault{Delay: 40 * time.Millisecond}, d) }},
+		{name: "link_deaf", inject: func(d time.Duration) { c.link(tanagerrelay.Fault{Deaf: true}, d) }},
+		{name: "link_mute", inject: func(d time.Duration) { c.link(tanagerrelay.Fault{Mute: true}, d) }},
+		{name: "link_silent", inject: func(d time.Duration) { c.link(tanagerrelay.Fault{Deaf: true, Mute: true}, d) }},
+		{name: "link_reset", inject: func(time.Duration) { c.pick().links.Reset() }},
+		{name: "store_link_deaf", inject: func(d time.Duration) { c.storeLink(tanagerrelay.Fault{Deaf: true}, d) }},
+		{name: "store_link_mute", inject: func(d time.Duration) { c.storeLink(tanagerrelay.Fault{Mute: true}, d) }},
+		{name: "store_link_reset", inject: func(time.Duration) { c.pick().stores.Reset() }},
+	}
 }
 
 func (c *cell) pick() *daemon { return c.daemons[c.random.IntN(len(c.daemons))] }
@@ -220,6 +243,18 @@
 	})
 }
 
+// link disturbs what other daemons send to one, and its answers.
+func (c *cell) link(f tanagerrelay.Fault, lasts time.Duration) { c.disturb(c.pick().links, f, lasts) }
+
+func (c *cell) storeLink(f tanagerrelay.Fault, lasts time.Duration) {
+	c.disturb(c.pick().stores, f, lasts)
+}
+
+func (c *cell) disturb(r *tanagerrelay.Relay, f tanagerrelay.Fault, lasts time.Duration) {
+	r.SetFault(f)
+	c.later(lasts, func() { r.SetFault(tanagerrelay.Fault{}) })
+}
+
 func (c *cell) door(f tanagersite.StoreFault, lasts time.Duration) {
 	door, _ := c.site.Store(c.random.IntN(c.settings.Daemons))
 	door.SetFault(f)
--- a/soak/tanagersoak/soak_test.go
+++ b/soak/tanagersoak/soak_test.go
@@ -52,18 +52,31 @@
 	binary := build(t)
 	for _, r := range regressions {
 		t.Logf("seed %d: %s", r.seed, r.cause)
-		report, err := Run(Settings{
-			Binary:  binary,
-			Seed:    r.seed,
-			Daemons: 4,
-			Workers: 10,
-			Length:  8 * time.Second,
-			Settle:  90 * time.Second,
-		})
-		c := qt.New(t)
-		c.Assert(err, qt.IsNil)
-		t.Log(report)
-		c.Check(report.Broken, qt.HasLen, 0)
-		c.Check(report.Accepted > 0, qt.IsTrue)
+		play(t, binary, r.seed, false)
 	}
 }
+
+// A run with faults of connections besides.
+func TestLinks(t *testing.T) {
+	const seed = 1001
+	t.Logf("seed %d", seed)
+	play(t, build(t), seed, true)
+}
+
+func play(t *testing.T, binary string, seed uint64, links bool) {
+	t.Helper()
+	report, err := Run(Settings{
+		Binary:  binary,
+		Seed:    seed,
+		Daemons: 4,
+		Workers: 10,
+		Length:  8 * time.Second,
+		Settle:  90 * time.Second,
+		Links:   links,
+	})
+	c := qt.New(t)
+	c.Assert(err, qt.IsNil)
+	t.Log(report)
+	c.Check(report.Broken, qt.HasLen, 0)
+	c.Check(report.Accepted > 0, qt.IsTrue)
+}
--- a/soak/tanagersoak/stop_test.go
+++ b/soak/tanagersoak/stop_test.go
@@ -1,10 +1,11 @@
 package tanagersoak
 
 import (
+	"bytes"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -12,6 +13,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"tanagersail.example/tanager/tanagerwire"
 	"tanagersail.example/tanagerfake/tanagersite"
 )
 
@@ -89,14 +91,20 @@
 	return answered, cut
 }
 
+// errorUnread means that the test sends what no daemon takes.
+var errorUnread = errors.New("the job could not be read")
+
 // sendOne hands a job in and reports whether the daemon closes the connection.
 func sendOne(site *tanagersite.Site, client *http.Client, d *daemon, id string) (closing bool, err error) {
 	site.HandIn(id, tanagersite.JobShape{
 		Steps:    []int{1},
 		MilliCPU: 100,
 	})
-	body := `{"spec":"s","steps":[{"count":1,"cpu":100,"estimate_ms":300}]}`
-	request, err := http.NewRequest(http.MethodPost, "http://"+d.callers.String()+tanagersite.QueuePrefix+id, strings.NewReader(body))
+	body := tanagerwire.Encode(map[string]any{
+		"spec":  "s",
+		"steps": []map[string]any{{"count": 1, "cpu": 100, "estimate_ms": 300}},
+	})
+	request, err := http.NewRequest(http.MethodPost, "http://"+d.callers.String()+tanagersite.QueuePrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return false, err
 	}
@@ -105,5 +113,8 @@
 	if err != nil {
 		return false, err
 	}
+	if response.StatusCode == http.StatusBadRequest {
+		return false, errors.Join(errorUnread, response.Body.Close())
+	}
 	return response.Close, response.Body.Close()
 }
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -181,7 +181,7 @@
 			handler: metrics,
 		},
 		{
-			address: s.Daemon.PeerAddress,
+			address: s.Daemon.PeerListen,
 			handler: peers,
 		},
 	}
--- a/tanagerd/tanagersettings/cell.go
+++ b/tanagerd/tanagersettings/cell.go
@@ -24,8 +24,11 @@
 	CallerAddress    netip.AddrPort `yaml:"caller_address"`
 	ReadinessAddress netip.AddrPort `yaml:"readiness_address"`
 	PeerAddress      netip.AddrPort `yaml:"peer_address"`
-	MetricsAddress   netip.AddrPort `yaml:"metrics_address"`
-	PeerToken        string         `yaml:"peer_token"`
+	// PeerListen is where it listens for the other daemons, if that is another
+	// address.
+	PeerListen     netip.AddrPort `yaml:"peer_listen"`
+	MetricsAddress netip.AddrPort `yaml:"metrics_address"`
+	PeerToken      string         `yaml:"peer_token"`
 }
 
 // MemberServices says where the outside services are.
@@ -86,6 +89,9 @@
 	if err := yaml.UnmarshalWithOptions(content, &m, yaml.Strict()); err != nil {
 		return Member{}, explain(err, content)
 	}
+	if !m.Daemon.PeerListen.IsValid() {
+		m.Daemon.PeerListen = m.Daemon.PeerAddress
+	}
 	return m, m.check()
 }
 
