Give each successor more time to read the tables

Where all daemons need longer, on narrow links with tens of thousands of jobs kept, the part would pass round for ever; before the hand-over the reading just took as long as it took.

Change: a hand-over for that reason leaves the successor twice the time. The test fails without it.

--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -59,6 +59,8 @@
 	// to tell when this one is elected in place of one that handed over.
 	termBegan time.Time
 	heirOf    []string
+	// patience is what the daemon that handed over left for the reading.
+	patience time.Duration
 	// waves are those that the operator has written; machinesRead is when the
 	// list of machines was last asked for.
 	waves           map[int]tanagerport.Wave
--- a/tanagerd/tanagercell/handover.go
+++ b/tanagerd/tanagercell/handover.go
@@ -20,6 +20,10 @@
 	// Members are the daemons to tell of the result: those that do not reach the
 	// store have no other way to learn of it.
 	Members []string `json:"members"`
+	// Patience is how long the successor may take to read its tables at least:
+	// where all daemons are slow to, a part that passes on as fast as the first
+	// time would never be carried out.
+	Patience time.Duration `json:"patience"`
 }
 
 // leadTold carries the stored records of a newly elected scheduler.
@@ -59,10 +63,14 @@
 			members = append(members, name)
 		}
 	}
-	return c.send(successor, topicHandOver, handOver{
+	h := handOver{
 		Epoch:   c.lead.epoch,
 		Members: members,
-	})
+	}
+	if c.loading {
+		h.Patience = 2 * c.takeoverPatience()
+	}
+	return c.send(successor, topicHandOver, h)
 }
 
 // unableSince reports whether this daemon has been unable to serve as the
@@ -71,7 +79,7 @@
 	switch {
 	case c.cell == nil:
 		return time.Time{}, false
-	case c.loading && now.Sub(c.termBegan) > takeoverPatience:
+	case c.loading && now.Sub(c.termBegan) > c.takeoverPatience():
 		return c.termBegan, true
 	case !c.storeUp && now.Sub(c.storeServed) > handOverPatience && now.Sub(c.termBegan) > c.settings.LeaderTTL:
 		return c.storeLost, true
@@ -79,6 +87,8 @@
 	return time.Time{}, false
 }
 
+func (c *control) takeoverPatience() time.Duration { return max(c.patience, takeoverPatience) }
+
 // served returns the heaviest daemon that the store has served without a failure
 // for a time, and last after a given one, empty if there is none. In an outage for
 // all there is none: nobody is served after the first failure.
@@ -106,6 +116,7 @@
 		return
 	}
 	c.heirOf = h.Members
+	c.patience = h.Patience
 	c.stand("handed over by " + from)
 }
 
--- a/tanagerd/tanagercell/handover_test.go
+++ b/tanagerd/tanagercell/handover_test.go
@@ -174,6 +174,14 @@
 	scheduler.considerHandOver(scheduler.timer.Now())
 	qt.Assert(t, scheduler.cell, qt.IsNil)
 	other.until(t, "election", func() bool { return other.cell != nil })
+	// Where no daemon reads its tables in that time, the next one gets more.
+	other.hears("127.0.0.1:1/third", 0.5, 0, time.Minute)
+	other.advance(takeoverPatience + time.Millisecond)
+	_, unable := other.unableSince(other.timer.Now())
+	qt.Assert(t, unable, qt.IsFalse)
+	other.advance(takeoverPatience)
+	_, unable = other.unableSince(other.timer.Now())
+	qt.Assert(t, unable, qt.IsTrue)
 }
 
 // Of the daemons that the store serves the heaviest follows.
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -144,6 +144,7 @@
 		c.cell.CancelJob(id)
 	}
 	c.loading = false
+	c.patience = 0
 	c.log.Info().Str("event", "takeover_done").Uint64("epoch", c.lead.epoch).
 		Int("jobs", len(e.found.jobs)).Int("workers", len(c.fleet)).Send()
 	for _, waiting := range c.waiting {
