Give all changes of a transaction one revision in the stand-in

The stand-in counted a revision for each key, so a transaction of several keys returned one that only the last key had. The soak therefore played most writes twice.

Change: one revision a transaction, as the platform's pages say.

--- a/tanagerfake/tanagersite/store.go
+++ b/tanagerfake/tanagersite/store.go
@@ -63,6 +63,12 @@
 // put sets a key as the operator or a worker does. The caller holds the lock.
 func (s *store) put(key string, value []byte, leaseID int64) {
 	s.revision++
+	s.set(key, value, leaseID)
+}
+
+// set gives a key a value at the present revision. All changes of a transaction
+// have one.
+func (s *store) set(key string, value []byte, leaseID int64) {
 	i := item{
 		Key:      key,
 		Value:    base64.StdEncoding.EncodeToString(value),
@@ -82,6 +88,13 @@
 		return
 	}
 	s.revision++
+	s.drop(key)
+}
+
+func (s *store) drop(key string) {
+	if _, there := s.items[key]; !there {
+		return
+	}
 	delete(s.items, key)
 	s.record(item{
 		Key:      key,
@@ -321,15 +334,16 @@
 			return http.StatusNotFound, nil
 		}
 	}
+	s.revision++
 	for _, w := range t.Writes {
 		value, err := base64.StdEncoding.DecodeString(w.Value)
 		if err != nil {
 			return http.StatusBadRequest, nil
 		}
-		s.put(w.Key, value, w.Lease)
+		s.set(w.Key, value, w.Lease)
 	}
 	for _, key := range t.Remove {
-		s.remove(key)
+		s.drop(key)
 	}
 	return http.StatusOK, map[string]any{"revision": s.revision}
 }
