Bound the idle connections to workers

Cause: a scheduler of 3,000 workers kept a connection to each, beside those of 300 daemons: 3,577 of the 3,900 that its VM allows. With 2,900 descriptors the same scheduler sent 50,000 starts that found none, in 15 s.

Change: idle connections to workers take at most three tenths of the descriptors, which the settings name (limits.max_files); with the pauses of idle workers most connections are idle.

--- a/soak/tanagersoak/daemon.go
+++ b/soak/tanagersoak/daemon.go
@@ -41,6 +41,7 @@
 limits:
   cpu_share: 0.5
   memory_mb: 400
+  max_files: 1024
   stop_seconds: 6
 work:
   longest_lease_ms: 6000
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -54,6 +54,9 @@
 	transferTimeout = 5 * time.Second
 	// orderTimeout bounds an order to a worker, which answers in milliseconds.
 	orderTimeout = 400 * time.Millisecond
+	// idleShare of the descriptors may be idle connections to workers. The rest is
+	// for their open polls and orders, and for daemons and callers.
+	idleShare = 0.3
 	// headerTimeout and idleTimeout bound callers' connections.
 	headerTimeout = 3 * time.Second
 	callerIdle    = 60 * time.Second
@@ -106,7 +109,7 @@
 			Dial:     dialTimeout,
 			Call:     orderTimeout,
 			Transfer: orderTimeout,
-		}),
+		}, int(idleShare*float64(s.Limits.MaxFiles))),
 		Decoder: tanagerplatform.Decoder{},
 	}
 	if s.Services.Advice != "" {
--- a/tanagerd/tanagersettings/cell.go
+++ b/tanagerd/tanagersettings/cell.go
@@ -43,6 +43,8 @@
 	// CPUShare is its part of a core, MemoryMB the memory at which it is killed.
 	CPUShare float64 `yaml:"cpu_share"`
 	MemoryMB int64   `yaml:"memory_mb"`
+	// MaxFiles is how many descriptors it may hold, connections among them.
+	MaxFiles int `yaml:"max_files"`
 	// StopSeconds is the time from a signal to stop to the kill.
 	StopSeconds float64 `yaml:"stop_seconds"`
 }
@@ -111,6 +113,7 @@
 	positive := map[string]float64{
 		"limits.cpu_share":      m.Limits.CPUShare,
 		"limits.memory_mb":      float64(m.Limits.MemoryMB),
+		"limits.max_files":      float64(m.Limits.MaxFiles),
 		"limits.stop_seconds":   m.Limits.StopSeconds,
 		"work.longest_lease_ms": m.Work.LongestLeaseMS,
 		"work.stop_grace_ms":    m.Work.StopGraceMS,
