Tell the daemon that hands over once

The scheduler says hello to itself, so it stood twice among the daemons that its successor tells of the result. Seen in reading; a comment is wrapped.

--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -116,8 +116,8 @@
 	c.applyRunning(w, r, sent)
 }
 
-// spreadIdlePolls spreads the polls of workers that run nothing, so that their number a second
-// does not grow with the fleet.
+// spreadIdlePolls sets the pause between the polls of workers that run nothing, so
+// that their number a second does not grow with the fleet.
 func (c *Cell) spreadIdlePolls() {
 	idle := 0
 	for _, w := range c.workers {
--- a/tanagerd/tanagercell/handover.go
+++ b/tanagerd/tanagercell/handover.go
@@ -59,7 +59,7 @@
 	}
 	members := []string{c.member}
 	for name := range c.members {
-		if name != successor {
+		if name != successor && name != c.member {
 			members = append(members, name)
 		}
 	}
