--- /dev/null
+++ b/tanager/tanagerdispatch/suspend_test.go
@@ -0,0 +1,28 @@
+package tanagerdispatch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerport"
+)
+
+// The scheduler's VM is suspended and its steady clock with it, while workers go
+// on: their leases run out. What was started must be told from their reports, and
+// the next lease must count on their clocks.
+func TestSuspendedScheduler(t *testing.T) {
+	b := newBench(t, 1)
+	b.workers(testWorker("a", 1))
+	b.sync()
+	first := b.add(testRecord("01", testStep(1, 1000)))[0]
+	b.accept(first)
+	b.clock += 30 * time.Second
+	b.ends("a", 1, tanagerport.EndedLapsed, first)
+	b.store()
+	again := b.tick(20 * time.Millisecond).Starts
+	b.c.Assert(again, qt.HasLen, 1)
+	b.c.Assert(again[0].Start.Run > first.Start.Run, qt.IsTrue)
+	b.c.Assert(again[0].Start.Deadline > b.clock, qt.IsTrue, qt.Commentf("lease until %v, the worker's clock is %v", again[0].Start.Deadline, b.clock))
+}
