--- a/tanagerfake/tanagersite/store.go
+++ b/tanagerfake/tanagersite/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/base64"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sort"
@@ -12,8 +11,6 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
-
-	"tanagersail.example/tanager/tanagerwire"
 )
 
 // item is a key of the store; a deleted one has no value.
@@ -299,65 +296,6 @@
 	return events, s.revision, false, s.changed
 }
 
-type wireTransaction struct {
-	Expected []struct {
-		Key      string `json:"key"`
-		Revision int64  `json:"revision"`
-	} `json:"expected_rev"`
-	Writes []struct {
-		Key   string `json:"key"`
-		Value string `json:"value"`
-		Lease int64  `json:"lease"`
-	} `json:"writes"`
-	Remove []string `json:"remove"`
-}
-
-// commit applies a transaction and returns its status and answer.
-func (s *store) commit(t wireTransaction) (int, any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	holds := true
-	present := make([]item, 0, len(t.Expected))
-	for _, e := range t.Expected {
-		i, there := s.items[e.Key]
-		if !there {
-			i = item{Key: e.Key}
-		}
-		present = append(present, i)
-		holds = holds && i.Revision == e.Revision
-	}
-	if !holds {
-		return http.StatusPreconditionFailed, map[string]any{"items": present}
-	}
-	for _, w := range t.Writes {
-		if w.Lease != 0 && s.leases[w.Lease] == nil {
-			return http.StatusNotFound, nil
-		}
-	}
-	s.revision++
-	for _, w := range t.Writes {
-		value, err := base64.StdEncoding.DecodeString(w.Value)
-		if err != nil {
-			return http.StatusBadRequest, nil
-		}
-		s.set(w.Key, value, w.Lease)
-	}
-	for _, key := range t.Remove {
-		s.drop(key)
-	}
-	return http.StatusOK, map[string]any{"revision": s.revision}
-}
-
-func (d *Door) transaction(w http.ResponseWriter, r *http.Request) {
-	var t wireTransaction
-	if err := readBody(r, &t); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	status, body := d.store.commit(t)
-	reply(w, status, body)
-}
-
 func (d *Door) grant(w http.ResponseWriter, r *http.Request) {
 	var wanted struct {
 		TTL int64 `json:"ttl_ms"`
@@ -403,25 +341,3 @@
 	d.store.mu.Unlock()
 	reply(w, http.StatusOK, map[string]any{})
 }
-
-func reply(w http.ResponseWriter, status int, body any) {
-	if body == nil {
-		w.WriteHeader(status)
-		return
-	}
-	w.Header().Set("Content-Type", contentType)
-	w.WriteHeader(status)
-	// A caller that has gone needs no answer.
-	_, _ = w.Write(tanagerwire.Encode(body))
-}
-
-// contentType is that of all bodies.
-const contentType = "application/cbor"
-
-func readBody(r *http.Request, v any) error {
-	content, err := io.ReadAll(r.Body)
-	if err != nil {
-		return err
-	}
-	return tanagerwire.Decode(content, v)
-}
