--- a/tanager/tanagerdispatch/load.go
+++ b/tanager/tanagerdispatch/load.go
@@ -17,6 +17,11 @@
 	PredecessorWorkers int
 	// OpenJobs counts jobs that have not ended.
 	OpenJobs int
+	// Queues counts the queues that are configured or have jobs.
+	Queues int
+	// UntriedSteps counts the steps that the last tick left out because of the limit
+	// on expired steps.
+	UntriedSteps int
 	// UnwrittenJobs counts jobs with progress that is neither stored nor being
 	// written.
 	UnwrittenJobs int
@@ -28,6 +33,8 @@
 		Advisers:           len(c.advisers),
 		PredecessorWorkers: len(c.predecessorLeases),
 		OpenJobs:           len(c.openJobs),
+		Queues:             len(c.queues),
+		UntriedSteps:       c.untriedSteps,
 		UnwrittenJobs:      len(c.dirtyJobs),
 	}
 	for _, w := range c.workerList {
--- a/tanager/tanagerdispatch/schedule.go
+++ b/tanager/tanagerdispatch/schedule.go
@@ -105,9 +105,11 @@
 	c.sortReady()
 	var adviceSteps []*step
 	gangs, expired := 0, 0
-	for _, s := range c.readySteps {
+	c.untriedSteps = 0
+	for i, s := range c.readySteps {
 		if s.rank.tier == tierExpired {
 			if expired++; expired > maxExpiredSteps {
+				c.untriedSteps = len(c.readySteps) - i
 				break
 			}
 		}
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -32,6 +32,8 @@
 	ObserveForecast(ctx context.Context, queue string, forecast, actual time.Duration)
 	ObserveOrder(ctx context.Context, order string, took time.Duration)
 	ObserveCall(ctx context.Context, call, reply string, took time.Duration)
+	// CountMessage counts a message to another daemon and its size in bytes.
+	CountMessage(ctx context.Context, topic string, size int)
 }
 
 // control is the state of a daemon. Only the control goroutine may access it,
@@ -88,6 +90,9 @@
 	// the delay of the control goroutine.
 	lastStep       time.Time
 	longestStepGap time.Duration
+	// longestTick is the longest time that a tick of the cell took since the last
+	// summary.
+	longestTick time.Duration
 
 	// exitedScheduler is the member name of a scheduler whose process has
 	// exited although its key may still be in the store.
@@ -181,6 +186,7 @@
 	if tickDue {
 		c.lastTick = now
 		c.cell.Tick(now)
+		c.longestTick = max(c.longestTick, c.timer.Now().Sub(now))
 	}
 	c.refreshMachines(now)
 	c.execute(c.cell.TakeOrders())
@@ -214,9 +220,10 @@
 		Int("inherited_workers", load.PredecessorWorkers).Int("open_jobs", load.OpenJobs).
 		Int64("starts", counters.Starts).Int64("stops", counters.Stops).Int64("polls", counters.Polls).
 		Int64("advice_calls", counters.AdviceCalls).Int64("notes_dropped", counters.EventsDropped).
-		Dur("longest_gap_ms", c.longestStepGap).
+		Dur("longest_gap_ms", c.longestStepGap).Dur("longest_tick_ms", c.longestTick).
+		Int("queues", load.Queues).Int("untried", load.UntriedSteps).
 		Int("unwritten", load.UnwrittenJobs).Int("writes_in_flight", c.writer.progressInFlight).Send()
-	c.longestStepGap = 0
+	c.longestStepGap, c.longestTick = 0, 0
 }
 
 // maintainMembership renews the lease or campaigns, and sends heartbeats.
@@ -336,7 +343,8 @@
 		}
 		c.configuration = &configuration
 		c.log.Info().Str("event", "configuration_applied").
-			Int64("version", configuration.Version).Int64("revision", item.Revision).Send()
+			Int64("version", configuration.Version).Int64("revision", item.Revision).
+			Int("queues", len(configuration.Queues)).Send()
 		if c.cell != nil {
 			c.cell.Configure(configuration)
 		}
@@ -375,6 +383,7 @@
 		c.log.Debug().Str("event", "message_unsent").Str("topic", topic).Str("to", to).Err(err).Send()
 		return false
 	}
+	c.metrics.CountMessage(c.ctx, topic, len(m.Payload))
 	return true
 }
 
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -91,8 +91,9 @@
 			Store:   store,
 			Decoder: stubDecoder{},
 		},
-		timer: timer,
-		log:   zerolog.Nop(),
+		timer:   timer,
+		log:     zerolog.Nop(),
+		metrics: discardMetrics{},
 		transport: tanagerpeer.New(tanagerpeer.Settings{
 			Self:         member,
 			Token:        "token",
--- a/tanagerd/tanagercell/frontend_test.go
+++ b/tanagerd/tanagercell/frontend_test.go
@@ -24,11 +24,12 @@
 
 func (discardMetrics) ObserveCall(context.Context, string, string, time.Duration) {}
 
+func (discardMetrics) CountMessage(context.Context, string, int) {}
+
 // newTestFrontend returns a frontend whose scheduler has one job. Its queue q is
 // closed, and its store is not reached.
 func newTestFrontend(t *testing.T, accepted tanagerwork.JobID) *Frontend {
 	c := newTestControl(t)
-	c.metrics = discardMetrics{}
 	c.hints = map[string]tanagerdispatch.AdmissionHint{"q": {
 		Others: tanageradmission.Decision{
 			Closed:     true,
--- a/tanagerd/tanagercell/state_test.go
+++ b/tanagerd/tanagercell/state_test.go
@@ -99,7 +99,6 @@
 		changesPerSecond = 500
 	)
 	c := newTestControl(t)
-	c.metrics = discardMetrics{}
 	c.becomeScheduler(1)
 	start := c.timer.Now()
 	for n := 0; c.timer.Now().Before(start.Add(callDuration)); n++ {
--- a/tanagerd/tanagermeter/meter.go
+++ b/tanagerd/tanagermeter/meter.go
@@ -41,6 +41,8 @@
 	jobOutcomes  metric.Int64Counter
 	// forecastError is the difference between actual and forecast waits.
 	forecastError metric.Float64Histogram
+	messageCount  metric.Int64Counter
+	messageBytes  metric.Int64Counter
 }
 
 // New returns a meter. An error is of type SetupFailed.
@@ -70,6 +72,16 @@
 	if err != nil {
 		return nil, SetupFailed.Wrap(err, "create counter of job outcomes")
 	}
+	m.messageCount, err = source.Int64Counter("tanager_messages_sent",
+		metric.WithDescription("Messages to other daemons, by topic."))
+	if err != nil {
+		return nil, SetupFailed.Wrap(err, "create counter of messages")
+	}
+	m.messageBytes, err = source.Int64Counter("tanager_message_bytes_sent",
+		metric.WithDescription("Size of the messages to other daemons, by topic."), metric.WithUnit("By"))
+	if err != nil {
+		return nil, SetupFailed.Wrap(err, "create counter of message bytes")
+	}
 	return m, nil
 }
 
@@ -121,3 +133,10 @@
 		attribute.String("actual", sign),
 	))
 }
+
+// CountMessage counts a message to another daemon and its size in bytes.
+func (m *Meter) CountMessage(ctx context.Context, topic string, size int) {
+	attributes := metric.WithAttributes(attribute.String("topic", topic))
+	m.messageCount.Add(ctx, 1, attributes)
+	m.messageBytes.Add(ctx, int64(size), attributes)
+}
