--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -15,6 +15,7 @@
 	"tanagersail.example/tanager/tanagerport"
 	"tanagersail.example/tanager/tanagertimer"
 	"tanagersail.example/tanager/tanagerwire"
+	"tanagersail.example/tanager/tanagerwork"
 )
 
 const (
@@ -324,3 +325,54 @@
 	c.maintainMembership(c.timer.Now())
 	qt.Assert(t, c.lastHeartbeat, qt.Equals, c.timer.Now())
 }
+
+// messageRecorder implements Metrics. It adds up the sizes of messages by topic.
+type messageRecorder struct {
+	discardMetrics
+	bytes map[string]int
+}
+
+func (r *messageRecorder) CountMessage(_ context.Context, topic string, size int) {
+	r.bytes[topic] += size
+}
+
+// hintBytes returns how many bytes of hints a scheduler sends to three daemons in
+// one second while one job waits and the given number of queues is idle.
+func hintBytes(t *testing.T, idleQueues int) int {
+	c := newTestControl(t)
+	recorder := &messageRecorder{bytes: make(map[string]int)}
+	c.metrics = recorder
+	c.becomeScheduler(1)
+	queues := []tanagerport.Queue{{Name: "busy"}}
+	for i := range idleQueues {
+		queues = append(queues, tanagerport.Queue{Name: "idle-" + strconv.Itoa(i)})
+	}
+	c.cell.Configure(tanagerport.Configuration{Queues: queues})
+	c.cell.AddJob(c.timer.Now(), tanagerwork.Record{
+		ID:    "00000000000000a1",
+		Queue: "busy",
+		Epoch: 1,
+		Spec: tanagerwork.Spec{Steps: []tanagerwork.Step{{
+			TaskCount: 1,
+			Resources: tanagerwork.Resources{MilliCPU: 1000},
+		}}},
+	}, nil)
+	for i := range 3 {
+		c.receiveHeartbeat("10.0.0."+strconv.Itoa(i+2)+":1/other", heartbeat{})
+	}
+	now := c.timer.Now()
+	for range 5 {
+		now = now.Add(baseHeartbeatInterval)
+		c.cell.Tick(now)
+		c.broadcastHints(now)
+	}
+	return recorder.bytes[topicHints]
+}
+
+// Hints that name each configured queue fill the scheduler's link once the operator
+// adds queues, and orders and advice wait behind them.
+func TestIdleQueuesDoNotGrowHintMessages(t *testing.T) {
+	few := hintBytes(t, 0)
+	qt.Assert(t, few > 0, qt.IsTrue)
+	qt.Assert(t, hintBytes(t, 1400), qt.Equals, few)
+}
