Send hints only for queues that have something to tell

From the second in which the operator added 1,400 queues without jobs, the scheduler sent 23 MB/s, as much as its link takes, and used its whole share of a core.

Cause: the admission hints named each configured queue. They were computed ten times a second for each queue, each time with a pass over all workers, encoded for each daemon anew and sent to each five times a second. Orders, polls and advice waited behind them; tickets expired on the way, starts came late, and the backlog outlived the traffic. Queues that the operator had removed stayed too.

The hint of an idle queue is the zero value, so it is left out: what is sent and computed grows with the queues that have jobs. The capacity is summed up once an update, the message encoded once a broadcast, and removed queues are forgotten with their last job.

--- a/tanager/tanageradmission/admission.go
+++ b/tanager/tanageradmission/admission.go
@@ -25,13 +25,13 @@
 type Decision struct {
 	// Closed classes reject jobs, with RetryAfter as the time until a retry is
 	// worthwhile.
-	Closed     bool          `json:"closed"`
-	RetryAfter time.Duration `json:"retry_after"`
+	Closed     bool          `json:"closed,omitempty"`
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// Wait is the forecast of the time until a job that is accepted now starts.
-	Wait time.Duration `json:"wait"`
+	Wait time.Duration `json:"wait,omitempty"`
 	// Observed is set if the forecast rests on observed starts, and not on the
 	// model of the capacity.
-	Observed bool `json:"observed"`
+	Observed bool `json:"observed,omitempty"`
 }
 
 const (
@@ -65,6 +65,15 @@
 	return r
 }
 
+// Forget discards the observations of a queue that no longer exists.
+func (c *Controller) Forget(queue string) {
+	delete(c.rates, Class{Queue: queue})
+	delete(c.rates, Class{
+		Queue: queue,
+		Gang:  true,
+	})
+}
+
 // Decide returns the decision on a class whose line is given. It must be called
 // several times per second, as it also records whether work waits.
 func (c *Controller) Decide(now time.Time, class Class, line Line) Decision {
--- a/tanager/tanagerdispatch/admission.go
+++ b/tanager/tanagerdispatch/admission.go
@@ -7,13 +7,14 @@
 	"tanagersail.example/tanager/tanagerwork"
 )
 
-// AdmissionHint tells the daemons whether to accept jobs of a queue.
+// AdmissionHint tells the daemons whether to accept jobs of a queue. The zero value
+// is the hint of an idle queue, which is open.
 type AdmissionHint struct {
 	// Pending is the number of jobs of which no task has started.
-	Pending int `json:"pending"`
+	Pending int `json:"pending,omitempty"`
 	// Gangs is the decision on jobs with a gang, Others on all other jobs.
-	Gangs  tanageradmission.Decision `json:"gangs"`
-	Others tanageradmission.Decision `json:"others"`
+	Gangs  tanageradmission.Decision `json:"gangs,omitzero"`
+	Others tanageradmission.Decision `json:"others,omitzero"`
 }
 
 // Decision returns the decision on a job.
@@ -34,7 +35,8 @@
 )
 
 // AdmissionHints returns the hints by queue and the time at which they were
-// computed.
+// computed. Queues whose hint is the zero value are left out, so that the size of
+// the hints does not grow with the configuration.
 func (c *Cell) AdmissionHints() (map[string]AdmissionHint, time.Time) { return c.hints, c.hintsAt }
 
 // updateHints decides which queues take new jobs.
@@ -44,17 +46,19 @@
 	}
 	c.hintsAt = c.now
 	c.capacityVersion++
-	hints := make(map[string]AdmissionHint, len(c.queues))
+	c.hints = make(map[string]AdmissionHint)
 	b := c.backlog()
 	pending := c.Pending()
-	for name, q := range c.queues {
-		hints[name] = AdmissionHint{
-			Pending: pending[name],
+	for q := range b.queues {
+		hint := AdmissionHint{
+			Pending: pending[q.config.Name],
 			Gangs:   c.decide(q, true, b),
 			Others:  c.decide(q, false, b),
 		}
+		if hint != (AdmissionHint{}) {
+			c.hints[q.config.Name] = hint
+		}
 	}
-	c.hints = hints
 }
 
 func (c *Cell) decide(q *queue, gang bool, b *backlog) tanageradmission.Decision {
@@ -76,7 +80,7 @@
 	if q.config.Priority == 0 {
 		work = b.urgent[q.config.Service]
 	}
-	capacity := c.serviceCores(q.config.Service) * achievableUtilization
+	capacity := b.cores[q.config.Service] * achievableUtilization
 	if capacity <= 0 {
 		return 0
 	}
@@ -85,6 +89,10 @@
 
 // backlog is the work that waits and has not expired, in core-seconds.
 type backlog struct {
+	// queues are those with open jobs.
+	queues map[*queue]bool
+	// cores are those of the workers that may be given new work, by service.
+	cores map[string]float64
 	// urgent and all are the pending tasks of urgent and of all queues, by
 	// service.
 	urgent, all map[string]float64
@@ -94,11 +102,14 @@
 
 func (c *Cell) backlog() *backlog {
 	b := &backlog{
+		queues:  make(map[*queue]bool),
+		cores:   c.usableCores(),
 		urgent:  make(map[string]float64),
 		all:     make(map[string]float64),
 		waiting: make(map[tanageradmission.Class]float64),
 	}
 	for _, j := range c.openJobs {
+		b.queues[j.queue] = true
 		c.addToBacklog(j, b)
 	}
 	return b
@@ -165,14 +176,14 @@
 	return float64(s.Resources.MilliCPU) / 1000 * s.Estimate.Seconds()
 }
 
-// serviceCores returns the cores of the workers of a service that may be given
-// new work.
-func (c *Cell) serviceCores(service string) float64 {
-	total := int64(0)
+// usableCores returns the cores of the workers that may be given new work, by
+// service.
+func (c *Cell) usableCores() map[string]float64 {
+	cores := make(map[string]float64)
 	for _, w := range c.workerList {
-		if w.entry.Service == service && c.acceptsWork(w) {
-			total += w.entry.Capacity.MilliCPU
+		if c.acceptsWork(w) {
+			cores[w.entry.Service] += float64(w.entry.Capacity.MilliCPU) / 1000
 		}
 	}
-	return float64(total) / 1000
+	return cores
 }
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -254,6 +254,9 @@
 		known.config = q
 		known.configured = true
 	}
+	for _, q := range c.queues {
+		c.forgetUnusedQueue(q)
+	}
 	clear(c.services)
 	for _, s := range config.Services {
 		c.services[s.Name] = s
@@ -261,6 +264,16 @@
 	c.capacityVersion++
 }
 
+// forgetUnusedQueue removes a queue that the operator has removed and that has no
+// jobs.
+func (c *Cell) forgetUnusedQueue(q *queue) {
+	if q.configured || q.jobCount > 0 {
+		return
+	}
+	delete(c.queues, q.config.Name)
+	c.admission.Forget(q.config.Name)
+}
+
 // findOrAddQueue returns the queue with the given name and adds it if it is not
 // known, as a job's queue may have been removed from the configuration.
 func (c *Cell) findOrAddQueue(name, service string) *queue {
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -367,13 +367,10 @@
 	return j.endedAt, true
 }
 
-// Pending returns, by queue, the number of jobs of which no task has started.
-// Recurring jobs are not counted.
+// Pending returns, by queue, the number of jobs of which no task has started, for
+// the queues that have such jobs. Recurring jobs are not counted.
 func (c *Cell) Pending() map[string]int {
-	counts := make(map[string]int, len(c.queues))
-	for name := range c.queues {
-		counts[name] = 0
-	}
+	counts := make(map[string]int)
 	for _, j := range c.openJobs {
 		if !j.started && j.record.Spec.Times == 0 {
 			counts[j.record.Queue]++
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -196,6 +196,7 @@
 func (c *Cell) RemoveJob(id tanagerwork.JobID) {
 	if j, known := c.jobs[id]; known {
 		j.queue.jobCount--
+		c.forgetUnusedQueue(j.queue)
 		delete(c.jobs, id)
 		c.dirtyJobs = slices.DeleteFunc(c.dirtyJobs, func(dirty *job) bool { return dirty == j })
 	}
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -377,13 +377,18 @@
 
 // send queues a message for a daemon and reports whether it was queued.
 func (c *control) send(to, topic string, payload any) bool {
-	m := message.NewMessage("", tanagerwire.Encode(payload))
+	return c.sendEncoded(to, topic, tanagerwire.Encode(payload))
+}
+
+// sendEncoded is send for a payload that is already encoded.
+func (c *control) sendEncoded(to, topic string, payload []byte) bool {
+	m := message.NewMessage("", payload)
 	m.Metadata.Set(tanagerpeer.ToKey, to)
 	if err := c.transport.Publish(topic, m); err != nil {
 		c.log.Debug().Str("event", "message_unsent").Str("topic", topic).Str("to", to).Err(err).Send()
 		return false
 	}
-	c.metrics.CountMessage(c.ctx, topic, len(m.Payload))
+	c.metrics.CountMessage(c.ctx, topic, len(payload))
 	return true
 }
 
@@ -399,11 +404,11 @@
 	}
 	c.lastHintBroadcast = now
 	hints, _ := c.cell.AdmissionHints()
-	msg := hintsMessage{
+	msg := tanagerwire.Encode(hintsMessage{
 		HeartbeatInterval: interval,
 		Epoch:             c.cell.Epoch(),
 		Hints:             hints,
-	}
+	})
 	advisers := make([]string, 0, len(c.members))
 	for name, m := range c.members {
 		if now.Sub(m.lastHeartbeat) > memberTimeout {
@@ -413,7 +418,7 @@
 			continue
 		}
 		advisers = append(advisers, name)
-		c.send(name, topicHints, msg)
+		c.sendEncoded(name, topicHints, msg)
 	}
 	c.cell.SetAdvisers(advisers)
 }
