--- a/tanager/tanagerdispatch/schedule_test.go
+++ b/tanager/tanagerdispatch/schedule_test.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -120,3 +121,79 @@
 		h.c.Check(starts[0].Start.Task.Job, qt.Equals, tc.first, qt.Commentf("%s", name))
 	}
 }
+
+// newExpiredBacklog returns a harness with one worker and count expired jobs of a
+// step that no worker can run, and one expired job behind them that may start.
+func newExpiredBacklog(t *testing.T, count int, unplaceable, last tanagerwork.Step) (*harness, tanagerwork.JobID) {
+	h := newBatchHarness(t, nil)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	add := func(id string, waited time.Duration, s tanagerwork.Step) tanagerwork.JobID {
+		r := testRecord("00", s)
+		r.ID = tanagerwork.JobID(id)
+		r.Arrived = h.now.Add(-waited)
+		h.cell.AddJob(h.now, r, nil)
+		return r.ID
+	}
+	for i := range count {
+		add(fmt.Sprintf("%016x", i), 2*time.Hour, unplaceable)
+	}
+	return h, add("00000000000000ff", time.Hour, last)
+}
+
+// Expired steps that cannot start must not keep those behind them from free workers.
+func TestUnplaceableExpiredStepsHoldUpNoOther(t *testing.T) {
+	unplaceable := testStep(1, 1000)
+	unplaceable.Label = "missing"
+	unplaceableGang := gangStep(2, 1000)
+	unplaceableGang.Label = "missing"
+	for name, tc := range map[string]struct {
+		unplaceable, last tanagerwork.Step
+	}{
+		"tasks":                {unplaceable: unplaceable, last: testStep(1, 1000)},
+		"gangs before a task":  {unplaceable: unplaceableGang, last: testStep(1, 1000)},
+		"tasks before a gang":  {unplaceable: unplaceable, last: gangStep(2, 1000)},
+		"gangs before a gang":  {unplaceable: unplaceableGang, last: gangStep(2, 1000)},
+		"too large for a task": {unplaceable: testStep(1, 100_000), last: testStep(1, 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, last := newExpiredBacklog(t, 5*maxExpiredSteps, tc.unplaceable, tc.last)
+			started := false
+			for range 40 {
+				for _, s := range h.tick(15 * time.Millisecond).Starts {
+					started = started || s.Start.Task.Job == last
+				}
+			}
+			h.c.Assert(started, qt.IsTrue)
+		})
+	}
+}
+
+// Expired steps that wait for advice must not keep others from asking for it.
+func TestExpiredStepsAwaitingAdviceHoldUpNoOther(t *testing.T) {
+	const count = 2 * maxExpiredSteps
+	h := newBatchHarness(t, &tanagerport.AdvicePolicy{
+		DecisionTime: time.Second,
+		TicketTTL:    time.Second,
+	})
+	h.setWorkers(testWorker("a", 1))
+	var advisers []string
+	for i := range 2 * count {
+		advisers = append(advisers, fmt.Sprintf("d%d", i))
+	}
+	h.cell.SetAdvisers(advisers)
+	h.sync()
+	for i := range count {
+		r := testRecord("00", testStep(1, 1000))
+		r.ID = tanagerwork.JobID(fmt.Sprintf("%016x", i))
+		r.Arrived = h.now.Add(-time.Hour)
+		h.cell.AddJob(h.now, r, nil)
+	}
+	asked := make(map[tanagerwork.StepName]bool)
+	for range 10 {
+		for _, o := range h.tick(15 * time.Millisecond).Advice {
+			asked[o.Step] = true
+		}
+	}
+	h.c.Assert(asked, qt.HasLen, count)
+}
