Let expired steps take turns

After the scheduler had fallen behind, 1,603 steps had expired, and it tried only the 32 oldest in a tick.

Expired steps now take turns: one tick still tries at most 32, but each step once a round. Steps that hold tickets or a reservation are tried in each tick, and gangs take their turn in ticks that compute reservations; a round of as many ticks as lie between two of those would leave the same gangs out each time.

TestUnplaceableExpiredStepsHoldUpNoOther and TestExpiredStepsAwaitingAdviceHoldUpNoOther failed before; without the rounds, the exception for tickets or that for gangs a test fails.

--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -54,9 +54,12 @@
 // allowsStart reports whether advice allows starts: the queue needs none, or
 // there may be valid tickets.
 func (a *adviceState) allowsStart(now time.Time, q *queue) bool {
-	return q.config.Advice == nil || now.Before(a.ticketsValidUntil)
+	return q.config.Advice == nil || a.mayHoldTickets(now)
 }
 
+// mayHoldTickets reports whether a ticket may be valid.
+func (a *adviceState) mayHoldTickets(now time.Time) bool { return now.Before(a.ticketsValidUntil) }
+
 // ticket returns the valid ticket for a worker, or "".
 func (a *adviceState) ticket(w *worker, now time.Time) string {
 	t := a.tickets[w.id]
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -37,8 +37,7 @@
 	// readySteps have tasks that wait for a worker and whose dependencies are
 	// done.
 	readySteps []*step
-	// untriedSteps counts the ready steps that the last tick did not try to place.
-	untriedSteps int
+	expired    expiredTurns
 	// capacityVersion is incremented whenever a step that did not fit may fit
 	// again. Such a step is not tried before that.
 	capacityVersion uint64
--- a/tanager/tanagerdispatch/doc.go
+++ b/tanager/tanagerdispatch/doc.go
@@ -12,6 +12,8 @@
 //   - schedule.go: order of steps by tier and least slack. Under overload, steps
 //     that can still meet their objective precede those that cannot, and late
 //     ones of urgent queues precede those with time to spare.
+//   - expired.go: turns of the steps whose results are of no use any more, in a
+//     backlog that is too long for one tick.
 //   - place.go: placement of single tasks of different sizes on workers of
 //     different speeds.
 //   - gang.go, reserve.go: gang scheduling, reservations and backfilling.
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -62,6 +62,8 @@
 	advice           adviceState
 	// rank is the one that the ready list was last sorted by.
 	rank rank
+	// expiredRound is the last round in which the step, being expired, was tried.
+	expiredRound int64
 	// blockedVersion is the capacityVersion at which the step was last found not
 	// to fit.
 	blockedVersion uint64
--- a/tanager/tanagerdispatch/load.go
+++ b/tanager/tanagerdispatch/load.go
@@ -19,8 +19,7 @@
 	OpenJobs int
 	// Queues counts the queues that are configured or have jobs.
 	Queues int
-	// UntriedSteps counts the steps that the last tick left out because of the limit
-	// on expired steps.
+	// UntriedSteps counts the expired steps whose turn did not come in the last tick.
 	UntriedSteps int
 	// UnwrittenJobs counts jobs with progress that is neither stored nor being
 	// written.
@@ -34,7 +33,7 @@
 		PredecessorWorkers: len(c.predecessorLeases),
 		OpenJobs:           len(c.openJobs),
 		Queues:             len(c.queues),
-		UntriedSteps:       c.untriedSteps,
+		UntriedSteps:       c.expired.untried,
 		UnwrittenJobs:      len(c.dirtyJobs),
 	}
 	for _, w := range c.workerList {
--- a/tanager/tanagerdispatch/schedule.go
+++ b/tanager/tanagerdispatch/schedule.go
@@ -104,16 +104,13 @@
 	}
 	c.sortReady()
 	var adviceSteps []*step
-	gangs, expired := 0, 0
-	c.untriedSteps = 0
-	for i, s := range c.readySteps {
-		if s.rank.tier == tierExpired {
-			if expired++; expired > maxExpiredSteps {
-				c.untriedSteps = len(c.readySteps) - i
-				break
-			}
+	gangs := 0
+	c.expired.beginTick()
+	for _, s := range c.readySteps {
+		if s.pendingTasks == 0 || s.job.state.Final() || !c.mayStart(s) {
+			continue
 		}
-		if s.pendingTasks == 0 || s.job.state.Final() || !c.mayStart(s) || c.placeStep(s) {
+		if s.rank.tier == tierExpired && !c.tryExpired(s, reserving) || c.placeStep(s) {
 			continue
 		}
 		switch {
@@ -161,10 +158,6 @@
 	})
 }
 
-// maxExpiredSteps bounds the expired steps that one tick tries to place, so that
-// a backlog of them takes no noticeable time.
-const maxExpiredSteps = 32
-
 // updateUsableWorkers determines which workers may be given new work.
 func (c *Cell) updateUsableWorkers() {
 	count, changed := 0, false
--- a/tanager/tanagerdispatch/schedule_test.go
+++ b/tanager/tanagerdispatch/schedule_test.go
@@ -122,12 +122,18 @@
 	}
 }
 
-// newExpiredBacklog returns a harness with one worker and count expired jobs of a
-// step that no worker can run, and one expired job behind them that may start.
-func newExpiredBacklog(t *testing.T, count int, unplaceable, last tanagerwork.Step) (*harness, tanagerwork.JobID) {
-	h := newBatchHarness(t, nil)
+// newExpiredBacklog returns a harness with one worker that has been idle for the
+// given number of ticks, count expired jobs of a step that no worker can run, and one
+// expired job behind them that may start. advice may be nil.
+func newExpiredBacklog(t *testing.T, advice *tanagerport.AdvicePolicy, ticks, count int,
+	unplaceable, last tanagerwork.Step) (*harness, tanagerwork.JobID) {
+	h := newBatchHarness(t, advice)
 	h.setWorkers(testWorker("a", 1))
+	h.cell.SetAdvisers([]string{"d1", "d2"})
 	h.sync()
+	for range ticks {
+		h.tick(15 * time.Millisecond)
+	}
 	add := func(id string, waited time.Duration, s tanagerwork.Step) tanagerwork.JobID {
 		r := testRecord("00", s)
 		r.ID = tanagerwork.JobID(id)
@@ -138,7 +144,7 @@
 	for i := range count {
 		add(fmt.Sprintf("%016x", i), 2*time.Hour, unplaceable)
 	}
-	return h, add("00000000000000ff", time.Hour, last)
+	return h, add("ffffffffffffffff", time.Hour, last)
 }
 
 // Expired steps that cannot start must not keep those behind them from free workers.
@@ -157,7 +163,7 @@
 		"too large for a task": {unplaceable: testStep(1, 100_000), last: testStep(1, 1000)},
 	} {
 		t.Run(name, func(t *testing.T) {
-			h, last := newExpiredBacklog(t, 5*maxExpiredSteps, tc.unplaceable, tc.last)
+			h, last := newExpiredBacklog(t, nil, 0, 5*maxExpiredSteps, tc.unplaceable, tc.last)
 			started := false
 			for range 40 {
 				for _, s := range h.tick(15 * time.Millisecond).Starts {
@@ -197,3 +203,42 @@
 	}
 	h.c.Assert(asked, qt.HasLen, count)
 }
+
+// Rounds that take as many ticks as lie between two computations of reservations
+// must not leave out the same gangs each time.
+func TestExpiredGangsTakeTurnsWithReservations(t *testing.T) {
+	unplaceable := testStep(1, 1000)
+	unplaceable.Label = "missing"
+	const ticksPerReservation = int(reservationInterval / (15 * time.Millisecond))
+	for ticks := range ticksPerReservation {
+		h, gang := newExpiredBacklog(t, &tanagerport.AdvicePolicy{TicketTTL: time.Second}, ticks,
+			ticksPerReservation*maxExpiredSteps-1, unplaceable, gangStep(2, 1000))
+		asked := false
+		for range 20 * ticksPerReservation {
+			for _, o := range h.tick(15 * time.Millisecond).Advice {
+				asked = asked || o.Step.Job == gang
+			}
+		}
+		h.c.Check(asked, qt.IsTrue, qt.Commentf("%d idle ticks", ticks))
+	}
+}
+
+// An expired step that has tickets starts before they run out, however many others
+// have their turn first.
+func TestExpiredStepWithTicketsStartsAtOnce(t *testing.T) {
+	unplaceable := testStep(1, 1000)
+	unplaceable.Label = "missing"
+	h, last := newExpiredBacklog(t, &tanagerport.AdvicePolicy{TicketTTL: time.Second}, 0,
+		20*maxExpiredSteps, unplaceable, testStep(1, 1000))
+	var orders []AdviceOrder
+	for range 40 {
+		orders = append(orders, h.tick(15*time.Millisecond).Advice...)
+	}
+	h.c.Assert(orders, qt.HasLen, 1)
+	h.c.Assert(orders[0].Step.Job, qt.Equals, last)
+	h.cell.HandleAdviceResponse(h.now, orders[0], h.now, tanagerport.Advice{
+		Valid:   time.Second,
+		Tickets: map[string]string{"a": "ticket"},
+	}, nil)
+	h.c.Assert(h.tick(15*time.Millisecond).Starts, qt.HasLen, 1)
+}
