Test workers whose capacity shrinks and grows

What runs on a worker that has shrunk stays there: no rule asks for a stop, the work since the last checkpoint would be lost, and its callers would wait for it again. Nothing is started there until enough has ended. A run that is being stopped counts until its end, a successor counts what it adopts, and a reservation that no longer fits is dropped.

The code held each of these. Mutants, with the tests that then fail: new capacity ignored (four of the five), free capacity reset to the new capacity (three), no need taken for a fit where the capacity is negative (the best-effort one), capacity given back at the stop (the one of stopping runs), adopted runs not counted (the successor's).

--- /dev/null
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -0,0 +1,144 @@
+package tanagerdispatch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// workerWithCPU returns a test worker with the given CPU.
+func workerWithCPU(id string, milliCPU int64) tanagerport.WorkerEntry {
+	e := testWorker(id, 1)
+	e.Capacity.MilliCPU = milliCPU
+	return e
+}
+
+func (h *harness) acceptAll(starts []StartOrder) []tanagerport.ActiveRun {
+	var running []tanagerport.ActiveRun
+	for _, s := range starts {
+		h.accept(s)
+		running = append(running, tanagerport.ActiveRun{
+			Task: s.Start.Task,
+			Run:  s.Start.Run,
+		})
+	}
+	return running
+}
+
+// Runs on a worker whose capacity has shrunk go on, and nothing is started there
+// until enough of them have ended.
+func TestShrunkCapacityLimitsStarts(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	starts := h.submit(testRecord("01", testStep(4, 1000)))
+	h.c.Assert(starts, qt.HasLen, 4)
+	h.acceptAll(starts)
+	h.setWorkers(workerWithCPU("a", 2000))
+	h.cell.AddJob(h.now, testRecord("02", testStep(4, 1000)), nil)
+	out := h.tick(20 * time.Millisecond)
+	h.c.Assert(out.Starts, qt.HasLen, 0)
+	h.c.Assert(out.Stops, qt.HasLen, 0)
+	for i, expected := range []int{0, 0, 1, 1} {
+		h.reportEnds("a", int64(i+1), tanagerport.EndedDone, starts[i])
+		out := h.tick(20 * time.Millisecond)
+		h.c.Assert(out.Starts, qt.HasLen, expected, qt.Commentf("end %d", i))
+		h.acceptAll(out.Starts)
+	}
+}
+
+// What is being stopped counts against the capacity that is left.
+func TestShrunkCapacityCountsStoppingRuns(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	starts := h.submit(testRecord("01", testStep(2, 2000)))
+	h.acceptAll(starts)
+	h.setWorkers(workerWithCPU("a", 2000))
+	h.cell.CancelJob(starts[0].Start.Task.Job)
+	h.c.Assert(h.tick(20*time.Millisecond).Stops, qt.HasLen, 2)
+	h.c.Assert(h.submit(testRecord("02", testStep(1, 1000))), qt.HasLen, 0)
+	h.reportEnds("a", 1, tanagerport.EndedStopped, starts[0])
+	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
+	h.reportEnds("a", 2, tanagerport.EndedStopped, starts[1])
+	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
+}
+
+// A scheduler that adopts more runs than its worker's capacity starts nothing
+// there until enough of them have ended.
+func TestSuccessorStartsNothingOnOverfullWorker(t *testing.T) {
+	h := newHarness(t, 2)
+	h.cell.AddPredecessorWorkers(h.now, []string{"a"})
+	h.setWorkers(workerWithCPU("a", 1000))
+	inherited := testRecord("01", testStep(3, 1000))
+	h.cell.AddJob(h.now, inherited, nil)
+	var running []tanagerport.ActiveRun
+	var starts []StartOrder
+	for i := range 3 {
+		name := tanagerwork.TaskName{
+			StepName: tanagerwork.StepName{Job: inherited.ID},
+			Index:    i,
+		}
+		running = append(running, tanagerport.ActiveRun{
+			Task: name,
+			Run:  1,
+		})
+		starts = append(starts, StartOrder{Start: tanagerport.Start{
+			Task: name,
+			Run:  1,
+		}})
+	}
+	h.tick(time.Millisecond)
+	h.respondToPolls(tanagerport.Report{Running: running})
+	h.cell.AddJob(h.now, testRecord("02", testStep(2, 1000)), nil)
+	for i, expected := range []int{0, 0, 1} {
+		out := h.tick(20 * time.Millisecond)
+		h.c.Assert(out.Starts, qt.HasLen, 0)
+		h.c.Assert(out.Stops, qt.HasLen, 0)
+		h.reportEnds("a", int64(i+1), tanagerport.EndedDone, starts[i])
+		h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, expected)
+	}
+}
+
+// A task that needs none of the exhausted resource is not started on an overfull
+// worker either.
+func TestOverfullWorkerGetsNoBestEffortTasks(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	h.acceptAll(h.submit(testRecord("01", testStep(1, 4000))))
+	h.setWorkers(workerWithCPU("a", 2000))
+	step := testStep(1, 1000)
+	step.BestEffort = true
+	h.c.Assert(h.submit(testRecord("02", step)), qt.HasLen, 0)
+}
+
+// A reservation that no longer fits is dropped, and the gang starts on another
+// worker or once the capacity has grown again.
+func TestReservationOnShrunkWorker(t *testing.T) {
+	h := newBatchHarness(t, &tanagerport.AdvicePolicy{
+		DecisionTime: 100 * time.Millisecond,
+		TicketTTL:    30 * time.Second,
+	})
+	h.setWorkers(testWorker("a", 1))
+	h.cell.SetAdvisers([]string{"d1", "d2"})
+	h.sync()
+	gang := testRecord("01", gangStep(2, 2000))
+	h.cell.AddJob(h.now, gang, nil)
+	order := h.tick(2 * reservationInterval).Advice[0]
+	h.cell.HandleAdviceResponse(h.now, order, h.now, tanagerport.Advice{
+		Valid:   30 * time.Second,
+		Tickets: map[string]string{"a": "ticket"},
+	}, nil)
+	s := h.cell.jobs[gang.ID].steps[0]
+	h.c.Assert(h.cell.reserveFree(s), qt.IsTrue)
+	h.setWorkers(workerWithCPU("a", 3000))
+	h.c.Assert(h.runIdle(2*reservationGrace), qt.HasLen, 0)
+	h.c.Assert(h.cell.workers["a"].reservedFor, qt.IsNil)
+	h.setWorkers(testWorker("a", 1))
+	h.c.Assert(h.runIdle(time.Second), qt.HasLen, 2)
+}
