Show that a gang is placed on an overfull worker

TestGangAvoidsOverfullWorker fails: a gang that needs none of the exhausted resource starts on a worker that is over its capacity.

--- a/tanager/tanagerdispatch/capacity_test.go
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -142,3 +142,23 @@
 	h.setWorkers(testWorker("a", 1))
 	h.c.Assert(h.runIdle(time.Second), qt.HasLen, 2)
 }
+
+// A gang that needs no GPU was placed on a worker whose GPUs are overcommitted.
+func TestGangAvoidsOverfullWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	withGPUs := func(gpus int64) tanagerport.WorkerEntry {
+		e := testWorker("a", 1)
+		e.Capacity.GPUs = gpus
+		return e
+	}
+	h.setWorkers(withGPUs(2))
+	h.sync()
+	step := testStep(1, 1000)
+	step.Resources.GPUs = 2
+	starts := h.submit(testRecord("01", step))
+	h.acceptAll(starts)
+	h.setWorkers(withGPUs(1))
+	h.c.Assert(h.submit(testRecord("02", gangStep(2, 1000))), qt.HasLen, 0)
+	h.reportEnds("a", 1, tanagerport.EndedDone, starts[0])
+	h.c.Assert(h.tick(100*time.Millisecond).Starts, qt.HasLen, 2)
+}
