Count no room for gangs on an overfull worker

Callers' gangs were started on a worker that was over its capacity in a resource that the gang does not need, such as GPUs after their number had shrunk. Single tasks were not.

Cause: FitsIn compares all dimensions, FitCount only those that the demand needs. Free capacity was negative only beside orphaned runs, so the two agreed. FitCount now returns 0 where a dimension is negative, which also holds for the reservations of gangs and the choice of workers for advice.

TestGangAvoidsOverfullWorker started two members before and none now; with one run ended the gang starts.

--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -84,12 +84,16 @@
 	return r.MilliCPU <= o.MilliCPU && r.MemoryMB <= o.MemoryMB && r.GPUs <= o.GPUs
 }
 
-// FitCount returns how many times r fits in o, at most limit.
+// FitCount returns how many times r fits in o, at most limit. As for FitsIn,
+// nothing fits if o is negative in any dimension.
 func (r Resources) FitCount(o Resources, limit int) int {
 	n := limit
 	for _, d := range [][2]int64{{r.MilliCPU, o.MilliCPU}, {r.MemoryMB, o.MemoryMB}, {r.GPUs, o.GPUs}} {
+		if d[1] < 0 {
+			return min(limit, 0)
+		}
 		if d[0] > 0 {
-			n = min(n, int(max(d[1], 0)/d[0]))
+			n = min(n, int(d[1]/d[0]))
 		}
 	}
 	return n
