--- a/tanager/tanagerdispatch/capacity_test.go
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -162,3 +162,25 @@
 	h.reportEnds("a", 1, tanagerport.EndedDone, starts[0])
 	h.c.Assert(h.tick(100*time.Millisecond).Starts, qt.HasLen, 2)
 }
+
+// A start without a response was sent again to a worker that had meanwhile become
+// too small for it or had begun to drain.
+func TestStartIsRepeatedOnlyWhereItMayRun(t *testing.T) {
+	draining := testWorker("a", 1)
+	draining.Draining = true
+	draining.TerminatesIn = time.Minute
+	for name, changed := range map[string]tanagerport.WorkerEntry{
+		"shrunk":   workerWithCPU("a", 1000),
+		"draining": draining,
+	} {
+		h := newHarness(t, 1)
+		h.setWorkers(testWorker("a", 1))
+		h.sync()
+		start := h.submit(testRecord("01", testStep(1, 2000)))[0]
+		h.setWorkers(changed)
+		h.cell.HandleStartResponse(h.now, start, tanagerport.Response{}, tanagerport.OutcomeUnknown.New("no response"))
+		out := h.tick(20 * time.Millisecond)
+		h.c.Check(out.Starts, qt.HasLen, 0, qt.Commentf("%s", name))
+		h.c.Check(out.Stops, qt.HasLen, 1, qt.Commentf("%s", name))
+	}
+}
