Repeat a start only where the run may still begin

A start without a response was sent once more, up to one order timeout (0.4 s) after the first, although the worker's entry had shrunk below what it runs or said that it drains. If the first was lost, the second began work there that the scheduler knew to be too much or too late. Within the allowances that callers and operators state (seconds) no rule was broken by this alone.

Cause: the checks of placement were made before the first sending only. The run is now stopped instead, as after the last sending, so that the worker rejects it if it arrives late, and the task is placed anew once that is certain.

In the file of the runs only the condition and its comment change.

--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -165,13 +165,14 @@
 }
 
 // startOutcomeUnknown sends the start again, which is idempotent as it names the
-// same run. After maxStartSends it stops the run.
+// same run. After maxStartSends, or if the worker may no longer be given the run,
+// it stops the run.
 func (c *Cell) startOutcomeUnknown(a *attempt) {
 	if a.phase != starting {
 		return
 	}
 	c.logAttempt("start_unanswered", a, "")
-	if a.startsSent < maxStartSends {
+	if a.startsSent < maxStartSends && !a.worker.entry.Draining && !a.worker.overcommitted() {
 		c.sendStart(a)
 		return
 	}
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -92,6 +92,10 @@
 	w.free = w.free.Sub(a.step.spec.Allocation())
 }
 
+// overcommitted reports whether more is allocated on the worker than it has,
+// because its capacity has shrunk or orphaned runs take some of it.
+func (w *worker) overcommitted() bool { return !tanagerwork.Resources{}.FitsIn(w.free) }
+
 // SetWorkers replaces the list of workers. Workers that are no longer listed get
 // no new work.
 func (c *Cell) SetWorkers(now time.Time, entries []tanagerport.WorkerEntry) {
