--- a/tanager/tanagerdispatch/capacity_test.go
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -184,3 +184,19 @@
 		h.c.Check(out.Stops, qt.HasLen, 1, qt.Commentf("%s", name))
 	}
 }
+
+// A run of an unknown job takes all of its worker's capacity. Capacity that was
+// added between two reports was taken for free.
+func TestOrphanedRunTakesAddedCapacity(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(workerWithCPU("a", 2000))
+	h.tick(time.Millisecond)
+	h.respondToPolls(tanagerport.Report{Running: []tanagerport.ActiveRun{{
+		Task: tanagerwork.TaskName{StepName: tanagerwork.StepName{Job: "00000000000000ff"}},
+		Run:  1,
+	}}})
+	h.c.Assert(h.submit(testRecord("01", testStep(1, 1000))), qt.HasLen, 0)
+	h.setWorkers(testWorker("a", 1))
+	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
+	h.c.Assert(h.runIdle(2*time.Second), qt.HasLen, 1)
+}
