Let unknown runs take the capacity that a worker gains

A run of a job that the scheduler does not know counts as its whole worker until it has been stopped. When the worker's capacity grew between two reports, the difference counted as free, although the run may need it: it can have begun when the worker was larger. Callers of other tasks would have had them started beside it, over the capacity, until the next report.

Cause: the usage was computed from the capacity at the time of the report. It now follows the capacity.

--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -130,12 +130,22 @@
 		c.replaceIncarnation(w, e.Incarnation, "listed with a later incarnation")
 	}
 	c.logEntryChange(w, e)
-	allocated := w.entry.Capacity.Sub(w.free)
+	w.setCapacity(e.Capacity)
 	w.entry = e
-	w.free = e.Capacity.Sub(allocated)
 	w.listed = true
 }
 
+// setCapacity replaces the capacity, which may be less than what is allocated.
+// Orphaned runs that count as the whole worker take what is added as well.
+func (w *worker) setCapacity(capacity tanagerwork.Resources) {
+	before := w.entry.Capacity
+	if w.orphanUsage != (tanagerwork.Resources{}) && before.FitsIn(w.orphanUsage) {
+		w.setOrphanUsage(w.orphanUsage.Add(capacity.Sub(before)))
+	}
+	w.free = w.free.Add(capacity.Sub(before))
+	w.entry.Capacity = capacity
+}
+
 func (c *Cell) newWorker(e tanagerport.WorkerEntry) *worker {
 	w := &worker{
 		id:           e.ID,
