--- a/tanager/tanagerdispatch/capacity_test.go
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -200,3 +200,14 @@
 	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
 	h.c.Assert(h.runIdle(2*time.Second), qt.HasLen, 1)
 }
+
+// Capacity that is added is used at once.
+func TestAddedCapacityIsUsedAtOnce(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(workerWithCPU("a", 1000))
+	h.sync()
+	h.runIdle(2 * hintInterval)
+	h.c.Assert(h.submit(testRecord("01", testStep(1, 2000))), qt.HasLen, 0)
+	h.cell.SetWorkers(h.now, []tanagerport.WorkerEntry{testWorker("a", 1)})
+	h.c.Assert(h.tick(time.Millisecond).Starts, qt.HasLen, 1)
+}
