Wake waiting steps when a worker grows

Steps that had been found not to fit were tried again only with the next admission hints, up to 100 ms after their worker had grown. Callers waited that much longer; nothing was lost, but only because the hints happen to wake all steps.

Cause: capacityVersion was incremented for a worker's first entry alone.

TestAddedCapacityIsUsedAtOnce got no start in the tick after the entry and now gets one.

--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -130,15 +130,18 @@
 		c.replaceIncarnation(w, e.Incarnation, "listed with a later incarnation")
 	}
 	c.logEntryChange(w, e)
-	w.setCapacity(e.Capacity)
+	c.setCapacity(w, e.Capacity)
 	w.entry = e
 	w.listed = true
 }
 
-// setCapacity replaces the capacity, which may be less than what is allocated.
+// setCapacity replaces a worker's capacity, which may be less than what is allocated.
 // Orphaned runs that count as the whole worker take what is added as well.
-func (w *worker) setCapacity(capacity tanagerwork.Resources) {
+func (c *Cell) setCapacity(w *worker, capacity tanagerwork.Resources) {
 	before := w.entry.Capacity
+	if capacity != before {
+		c.capacityVersion++
+	}
 	if w.orphanUsage != (tanagerwork.Resources{}) && before.FitsIn(w.orphanUsage) {
 		w.setOrphanUsage(w.orphanUsage.Add(capacity.Sub(before)))
 	}
