Show that an unusable reservation keeps workers idle

TestUnusableReservationIsDropped fails when a reserved worker shrinks, and also without a change of capacity when the call for new tickets gets no response; its third case, with neither, passes.

--- a/tanager/tanagerdispatch/capacity_test.go
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -211,3 +212,82 @@
 	h.cell.SetWorkers(h.now, []tanagerport.WorkerEntry{testWorker("a", 1)})
 	h.c.Assert(h.tick(time.Millisecond).Starts, qt.HasLen, 1)
 }
+
+// answerAdvice approves all workers of the given calls.
+func (h *harness) answerAdvice(orders []AdviceOrder) {
+	for _, o := range orders {
+		tickets := make(map[string]string)
+		for _, id := range o.Workers {
+			tickets[id] = "ticket"
+		}
+		h.cell.HandleAdviceResponse(h.now, o, h.now, tanagerport.Advice{
+			Valid:   time.Second,
+			Tickets: tickets,
+		}, nil)
+	}
+}
+
+// A gang whose reservation could not be used any more, and that was too far down
+// the ready list to make a new one, kept its workers from the gangs before it.
+func TestUnusableReservationIsDropped(t *testing.T) {
+	workers := []tanagerport.WorkerEntry{testWorker("a", 1), testWorker("b", 1), testWorker("c", 1)}
+	for name, tc := range map[string]struct {
+		// shrinks tells that a reserved worker shrinks, adviceFails that the call
+		// for new tickets fails.
+		shrinks, adviceFails bool
+	}{
+		"neither":        {},
+		"worker shrinks": {shrinks: true},
+		"advice fails":   {adviceFails: true},
+	} {
+		h := newBatchHarness(t, &tanagerport.AdvicePolicy{
+			DecisionTime: 10 * time.Millisecond,
+			TicketTTL:    time.Second,
+		})
+		h.setWorkers(workers...)
+		h.cell.SetAdvisers([]string{"d1", "d2"})
+		h.sync()
+		last := testRecord("01", gangStep(2, 4000))
+		last.Arrived = h.now
+		h.cell.AddJob(h.now, last, nil)
+		h.answerAdvice(h.tick(2 * reservationInterval).Advice)
+		s := h.cell.jobs[last.ID].steps[0]
+		// The tickets expire before they are used.
+		h.now = h.now.Add(time.Second)
+		h.clock += time.Second
+		h.respondToPolls(tanagerport.Report{})
+		calls := h.tick(time.Millisecond).Advice
+		h.c.Assert(calls, qt.HasLen, 1)
+		h.c.Assert(s.gang.reservation, qt.HasLen, 2)
+		for i := range 2 * minReservations {
+			r := testRecord(fmt.Sprintf("1%d", i), gangStep(2, 4000))
+			r.Arrived = h.now.Add(-2 * time.Second)
+			h.cell.AddJob(h.now, r, nil)
+		}
+		if tc.shrinks {
+			reserved := s.gang.reservation[0].worker.id
+			entries := make([]tanagerport.WorkerEntry, 0, len(workers))
+			for _, e := range workers {
+				if e.ID == reserved {
+					e = workerWithCPU(e.ID, 1000)
+				}
+				entries = append(entries, e)
+			}
+			h.setWorkers(entries...)
+		}
+		if tc.adviceFails {
+			h.cell.HandleAdviceResponse(h.now, calls[0], h.now, tanagerport.Advice{},
+				tanagerport.OutcomeUnknown.New("no response"))
+		} else {
+			h.answerAdvice(calls)
+		}
+		started := 0
+		for range 20 {
+			out := h.tick(50 * time.Millisecond)
+			h.answerAdvice(out.Advice)
+			h.respondToPolls(tanagerport.Report{})
+			started += len(out.Starts)
+		}
+		h.c.Check(started, qt.Equals, 2, qt.Commentf("%s", name))
+	}
+}
