Drop reservations that a gang far down the list cannot use

Gangs that waited for advice did not start although their workers were idle: for 3.6 s in the test, until the ranks of the gangs changed; longer for longer tasks.

Cause: capacity is reserved for a gang until it starts. Only the first gangs of the ready list (four, or one for every eight workers) have their reservations renewed and their tickets asked for anew. A gang that lost its place there to more urgent ones, and whose reserved worker shrank or whose call for tickets failed, could neither start nor give up its workers, and the gangs before it could not use them. The class is a claim whose holder is no longer served; a shrunk worker is only one way there.

Such a gang now keeps its reservation only while a call for advice is open and all of the reserved capacity is free. The test has a fourth case, a shrunk worker with the call still open.

Two lines of the scheduler's loop in schedule.go change.

--- a/tanager/tanagerdispatch/capacity_test.go
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -227,18 +227,33 @@
 	}
 }
 
+// runWithAdvice advances the time by d while all workers report that they run
+// nothing and calls for advice are answered. It returns the starts.
+func (h *harness) runWithAdvice(d time.Duration) []StartOrder {
+	const step = 50 * time.Millisecond
+	var starts []StartOrder
+	for ; d > 0; d -= step {
+		out := h.tick(step)
+		h.answerAdvice(out.Advice)
+		h.respondToPolls(tanagerport.Report{})
+		starts = append(starts, out.Starts...)
+	}
+	return starts
+}
+
 // A gang whose reservation could not be used any more, and that was too far down
 // the ready list to make a new one, kept its workers from the gangs before it.
 func TestUnusableReservationIsDropped(t *testing.T) {
 	workers := []tanagerport.WorkerEntry{testWorker("a", 1), testWorker("b", 1), testWorker("c", 1)}
 	for name, tc := range map[string]struct {
-		// shrinks tells that a reserved worker shrinks, adviceFails that the call
-		// for new tickets fails.
-		shrinks, adviceFails bool
+		// shrinks tells that a reserved worker shrinks. The call for new tickets
+		// fails with adviceFails, and stays open with callOpen.
+		shrinks, adviceFails, callOpen bool
 	}{
 		"neither":        {},
 		"worker shrinks": {shrinks: true},
 		"advice fails":   {adviceFails: true},
+		"call open":      {shrinks: true, callOpen: true},
 	} {
 		h := newBatchHarness(t, &tanagerport.AdvicePolicy{
 			DecisionTime: 10 * time.Millisecond,
@@ -264,6 +279,9 @@
 			r.Arrived = h.now.Add(-2 * time.Second)
 			h.cell.AddJob(h.now, r, nil)
 		}
+		if tc.callOpen {
+			h.c.Assert(h.runWithAdvice(500*time.Millisecond), qt.HasLen, 0)
+		}
 		if tc.shrinks {
 			reserved := s.gang.reservation[0].worker.id
 			entries := make([]tanagerport.WorkerEntry, 0, len(workers))
@@ -275,19 +293,13 @@
 			}
 			h.setWorkers(entries...)
 		}
-		if tc.adviceFails {
+		switch {
+		case tc.adviceFails:
 			h.cell.HandleAdviceResponse(h.now, calls[0], h.now, tanagerport.Advice{},
 				tanagerport.OutcomeUnknown.New("no response"))
-		} else {
+		case !tc.callOpen:
 			h.answerAdvice(calls)
 		}
-		started := 0
-		for range 20 {
-			out := h.tick(50 * time.Millisecond)
-			h.answerAdvice(out.Advice)
-			h.respondToPolls(tanagerport.Report{})
-			started += len(out.Starts)
-		}
-		h.c.Check(started, qt.Equals, 2, qt.Commentf("%s", name))
+		h.c.Check(h.runWithAdvice(time.Second), qt.HasLen, 2, qt.Commentf("%s", name))
 	}
 }
--- a/tanager/tanagerdispatch/reserve.go
+++ b/tanager/tanagerdispatch/reserve.go
@@ -143,6 +143,12 @@
 	return true
 }
 
+// awaitsReserved reports whether a gang can start with its reservation as soon as
+// its call for advice is answered.
+func (c *Cell) awaitsReserved(s *step) bool {
+	return s.advice.callInFlight(c.now) && c.reservationFits(s)
+}
+
 func (c *Cell) dropReservation(s *step) {
 	for _, k := range s.gang.reservation {
 		if k.worker.reservedFor == s {
--- a/tanager/tanagerdispatch/schedule.go
+++ b/tanager/tanagerdispatch/schedule.go
@@ -121,6 +121,8 @@
 			if c.reserveForGang(s, &gangs) {
 				adviceSteps = append(adviceSteps, s)
 			}
+		case s.spec.Gang && reserving && !c.awaitsReserved(s):
+			c.dropReservation(s)
 		}
 	}
 	c.requestAdvice(adviceSteps)
