Apply no listing of workers that is older than what is known

A daemon that became scheduler could keep the former capacity of a worker that shrank in that moment, and start tasks over its capacity until the entry changed again, which may be never. Workers that registered in that moment were gone until their next entry.

Cause: a new scheduler lists the workers for its takeover and watches them at the same time. The takeover's listing, which waits for the jobs and their progress, can be read before a change and applied after the watch has reported it. Entries were replaced by whichever came last. The class is a stale read that overwrites a newer one; the leader's record and the configuration were protected, the workers were not.

The control now remembers the revision that its list of workers reflects and ignores a listing from before it. Changes from a watch come in order and are always applied.

TestOlderListingRestoresNoCapacity saw 8 cores instead of 2, and one worker instead of two, for the listing of a takeover and that of a watch. It fails also when all later listings are ignored.

--- a/tanagerd/tanagercell/capacity_test.go
+++ b/tanagerd/tanagercell/capacity_test.go
@@ -37,7 +37,7 @@
 		"of a takeover": func(c *control) {
 			storedStateLoaded{
 				term:  c.term,
-				state: &storedState{workers: older.Items},
+				state: &storedState{workers: older},
 			}.apply(c)
 		},
 		"of a watch": func(c *control) {
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -53,6 +53,8 @@
 	leader        leaderState
 	configuration *tanagerport.Configuration
 	workers       map[string]tanagerport.WorkerEntry
+	// workersRevision is the store's revision that workers reflects.
+	workersRevision int64
 	// missingWorkers are the workers whose entries were missing after an outage of
 	// the store, with the time at which they are taken to be gone.
 	missingWorkers map[string]time.Time
@@ -343,7 +345,13 @@
 	}
 }
 
+// apply ignores a listing from before a change that has been applied: the
+// listings of a takeover and of a watch can overtake each other.
 func (e workerUpdate) apply(c *control) {
+	if e.snapshot && e.page.Revision < c.workersRevision {
+		return
+	}
+	c.workersRevision = max(c.workersRevision, e.page.Revision)
 	prefix := c.ports.Decoder.WorkerPrefix()
 	if e.snapshot {
 		c.removeUnlisted(e.page.Items)
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -18,7 +18,8 @@
 	cancelled      []tanagerwork.JobID
 	roster         []string
 	rosterRevision int64
-	workers        []tanagerport.Item
+	// workers is the listing of the workers' entries.
+	workers tanagerport.Page
 }
 
 // takeOver starts a term as the scheduler. It reads the stored state first;
@@ -72,7 +73,7 @@
 			return nil, err
 		}
 	}
-	state.workers = pages[len(pages)-1].Items
+	state.workers = pages[len(pages)-1]
 	for _, page := range pages[:len(pages)-1] {
 		for _, item := range page.Items {
 			if err := state.addItem(item); err != nil {
@@ -123,7 +124,7 @@
 	}
 	now := c.timer.Now()
 	workerUpdate{
-		page:     tanagerport.Page{Items: e.state.workers},
+		page:     e.state.workers,
 		snapshot: true,
 	}.apply(c)
 	c.writer.revisions = e.state.revisions
