--- a/tanagerfake/tanagersite/doc.go
+++ b/tanagerfake/tanagersite/doc.go
@@ -5,8 +5,8 @@
 // It implements the server side of the wire protocol whose client side is the
 // module platform; no other package knows the protocol. It can inject faults: the
 // store may be unavailable, slow or lose responses for some daemons, and workers
-// may execute commands late without a response, stop responding, or restart as a
-// new incarnation. An observer records violations of the scheduler's invariants;
+// may execute commands late without a response, stop responding, restart as a new
+// incarnation, or change their capacity. An observer records violations of the scheduler's invariants;
 // see Violations.
 //
 // # Usage
@@ -17,6 +17,7 @@
 //	endpoint, _ := site.StoreEndpoint(0)
 //	endpoint.SetFault(tanagersite.StoreFault{Unavailable: true})
 //	site.Worker(3).Restart()
+//	site.Worker(4).SetCapacity(2000)
 //	for _, v := range site.Violations() {
 //		t.Error(v)
 //	}
