--- a/soak/main.go
+++ b/soak/main.go
@@ -30,6 +30,7 @@
 	workers := app.Flag("workers", "Number of workers.").Default("10").Int()
 	length := app.Flag("length", "How long faults are injected.").Default("8s").Duration()
 	links := app.Flag("links", "Inject connection faults too.").Default("true").Bool()
+	capacity := app.Flag("capacity", "Make workers shrink and grow again too.").Default("true").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failed := 0
 	for seed := *first; seed < *first+*seeds; seed++ {
@@ -41,6 +42,7 @@
 			FaultDuration:    *length,
 			SettleTimeout:    90 * time.Second,
 			ConnectionFaults: *links,
+			CapacityChanges:  *capacity,
 		})
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
--- a/soak/tanagersoak/soak.go
+++ b/soak/tanagersoak/soak.go
@@ -25,6 +25,9 @@
 	// ConnectionFaults adds connection faults to the schedule. Without them a seed
 	// keeps the schedule that it had before connection faults were introduced.
 	ConnectionFaults bool
+	// CapacityChanges makes workers shrink and grow again. The other faults of a
+	// seed are the same with and without it.
+	CapacityChanges bool
 }
 
 // Report is the result of a run.
@@ -60,12 +63,23 @@
 	random         *rand.Rand
 	faults         map[string]int
 	pendingRepairs sync.WaitGroup
+	// shrunkWorkers is the number of times that a worker shrank, set before
+	// pendingRepairs ends.
+	shrunkWorkers int
 }
 
 const (
 	workerMilliCPU   = 8000
 	meanTaskDuration = 300 * time.Millisecond
 	startTimeout     = 20 * time.Second
+	// A worker shrinks for minShrunkTime to maxShrunkTime. Starts may use the former
+	// capacity for the first seconds, so that shorter times would test nothing.
+	minShrunkTime = 2 * time.Second
+	maxShrunkTime = 9 * time.Second
+	// A shrunk worker has one to maxShrunkShares shares of its capacity left, of
+	// capacityShares.
+	capacityShares  = 8
+	maxShrunkShares = 4
 )
 
 // Run runs one seed. It returns an error if the run could not start; violations
@@ -145,6 +159,9 @@
 // injectFaults injects faults for the run's fault duration. Each is repaired some
 // time later, so that faults overlap.
 func (c *cell) injectFaults() {
+	if c.settings.CapacityChanges {
+		c.repairAfter(0, c.changeCapacities)
+	}
 	kinds := c.faultKinds()
 	for deadline := time.Now().Add(c.settings.FaultDuration); time.Now().Before(deadline); {
 		time.Sleep(time.Duration(200+c.random.IntN(700)) * time.Millisecond)
@@ -324,6 +341,23 @@
 	}
 }
 
+// changeCapacities shrinks workers for the run's fault duration, up to half of them
+// at a time. Each grows again some time later. It draws from random numbers of its
+// own, so that the schedule of the other faults does not depend on it.
+func (c *cell) changeCapacities() {
+	r := rand.New(rand.NewPCG(c.settings.Seed, 2))
+	for deadline := time.Now().Add(c.settings.FaultDuration); time.Now().Before(deadline); {
+		time.Sleep(time.Duration(300+r.IntN(1200)) * time.Millisecond)
+		for range 1 + r.IntN(c.settings.Workers/2) {
+			w := c.site.Worker(r.IntN(c.settings.Workers))
+			w.SetCapacity(workerMilliCPU / capacityShares * int64(1+r.IntN(maxShrunkShares)))
+			c.shrunkWorkers++
+			duration := minShrunkTime + time.Duration(r.Int64N(int64(maxShrunkTime-minShrunkTime)))
+			c.repairAfter(duration, func() { w.SetCapacity(workerMilliCPU) })
+		}
+	}
+}
+
 // report waits for the accepted jobs to end and collects the violations.
 func (c *cell) report(callers *callerPool, logDir string) Report {
 	for _, d := range c.daemons {
@@ -339,6 +373,9 @@
 	if !allEnded {
 		callers.addViolation("%d accepted jobs have not ended: %v", len(unfinished), unfinished[:min(len(unfinished), 5)])
 	}
+	if c.settings.CapacityChanges {
+		c.faults["worker_shrinks"] = c.shrunkWorkers
+	}
 	violations := append(c.site.Violations(), callers.violations...)
 	report := Report{
 		Seed:        c.settings.Seed,
--- a/soak/tanagersoak/soak_test.go
+++ b/soak/tanagersoak/soak_test.go
@@ -51,28 +51,40 @@
 	binary := buildDaemon(t)
 	for _, r := range regressionSeeds {
 		t.Logf("seed %d: %s", r.seed, r.cause)
-		runSeed(t, binary, r.seed, false)
+		runSeed(t, binary, Settings{Seed: r.seed})
 	}
 }
 
 // A run that includes connection faults.
 func TestConnectionFaults(t *testing.T) {
-	const seed = 1001
-	t.Logf("seed %d", seed)
-	runSeed(t, buildDaemon(t), seed, true)
+	s := Settings{
+		Seed:             1001,
+		ConnectionFaults: true,
+	}
+	t.Logf("seed %d", s.Seed)
+	runSeed(t, buildDaemon(t), s)
+}
+
+// A run that includes workers that shrink and grow again.
+func TestCapacityChanges(t *testing.T) {
+	s := Settings{
+		Seed:             1301,
+		ConnectionFaults: true,
+		CapacityChanges:  true,
+	}
+	t.Logf("seed %d", s.Seed)
+	runSeed(t, buildDaemon(t), s)
 }
 
-func runSeed(t *testing.T, binary string, seed uint64, connectionFaults bool) {
+// runSeed plays a seed with the kinds of faults that are set.
+func runSeed(t *testing.T, binary string, s Settings) {
 	t.Helper()
-	report, err := Run(Settings{
-		Binary:           binary,
-		Seed:             seed,
-		Daemons:          4,
-		Workers:          10,
-		FaultDuration:    8 * time.Second,
-		SettleTimeout:    90 * time.Second,
-		ConnectionFaults: connectionFaults,
-	})
+	s.Binary = binary
+	s.Daemons = 4
+	s.Workers = 10
+	s.FaultDuration = 8 * time.Second
+	s.SettleTimeout = 90 * time.Second
+	report, err := Run(s)
 	c := qt.New(t)
 	c.Assert(err, qt.IsNil)
 	t.Log(report)
