--- a/tanager/tanagerdispatch/capacity_test.go
+++ b/tanager/tanagerdispatch/capacity_test.go
@@ -303,3 +303,37 @@
 		h.c.Check(h.runWithAdvice(time.Second), qt.HasLen, 2, qt.Commentf("%s", name))
 	}
 }
+
+// refuseForCapacity submits a task and refuses its start for want of capacity. It
+// returns the refused start.
+func (h *harness) refuseForCapacity() StartOrder {
+	starts := h.submit(testRecord("01", testStep(1, 2000)))
+	h.c.Assert(starts, qt.HasLen, 1)
+	h.cell.HandleStartResponse(h.now, starts[0], tanagerport.Response{
+		Status: tanagerport.InsufficientCapacity,
+		Clock:  h.clock,
+	}, nil)
+	return starts[0]
+}
+
+// A worker that guards its capacity and whose entry does not show yet that it has
+// shrunk was offered the same task every 20 ms, although another had room.
+func TestTaskLeavesWorkerThatRefusesForCapacity(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.sync()
+	refused := h.refuseForCapacity()
+	again := h.tick(2 * refusedStartDelay).Starts
+	h.c.Assert(again, qt.HasLen, 1)
+	h.c.Assert(again[0].Worker.ID, qt.Not(qt.Equals), refused.Worker.ID)
+}
+
+// The only worker is tried again, but not at the rate of the scheduler's ticks.
+func TestRefusalForCapacityIsRetriedLater(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	h.refuseForCapacity()
+	h.c.Assert(h.runIdle(200*time.Millisecond), qt.HasLen, 0)
+	h.c.Assert(h.runIdle(500*time.Millisecond), qt.HasLen, 1)
+}
