Avoid a worker for a moment after it refused a start for want of capacity

Where workers guard their capacity, a task was offered to the same worker again every 20 ms after a refusal, although others had room: until the entry showed that the worker had shrunk, about a heartbeat. Its caller waited that long, and each refused start has its price.

Cause: a refusal for want of capacity left no trace, so the worker stayed the best choice. The worker is now avoided for capacityBackoff (0.3 s), as it is after other refusals that tell of its state.

--- a/tanager/tanagerdispatch/health.go
+++ b/tanager/tanagerdispatch/health.go
@@ -24,6 +24,9 @@
 	// unreachableBackoff is how long a worker is avoided after it did not
 	// respond.
 	unreachableBackoff = 400 * time.Millisecond
+	// capacityBackoff is how long a worker is avoided after it has refused a start
+	// for want of capacity, a part of the time until its entry shows a change.
+	capacityBackoff = 300 * time.Millisecond
 	// failingBackoff is how long a worker is avoided on which most runs fail or a
 	// run makes no progress, about as long as such faults commonly last.
 	failingBackoff = 4 * time.Second
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -138,6 +138,8 @@
 		c.handleFenced(epoch)
 	case tanagerport.TicketRejected:
 		a.step.advice.discardTicket(a.worker)
+	case tanagerport.InsufficientCapacity:
+		a.worker.health.avoidUntil = c.now.Add(capacityBackoff)
 	case tanagerport.Unhealthy:
 		a.worker.health.avoidUntil = c.now.Add(unhealthyBackoff)
 	case tanagerport.OtherIncarnation:
