--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -92,6 +92,10 @@
 	w.free = w.free.Sub(a.step.spec.Allocation())
 }
 
+// overcommitted reports whether more is allocated on the worker than it has,
+// because its capacity has shrunk or orphaned runs take some of it.
+func (w *worker) overcommitted() bool { return !tanagerwork.Resources{}.FitsIn(w.free) }
+
 // SetWorkers replaces the list of workers. Workers that are no longer listed get
 // no new work.
 func (c *Cell) SetWorkers(now time.Time, entries []tanagerport.WorkerEntry) {
@@ -126,12 +130,25 @@
 		c.replaceIncarnation(w, e.Incarnation, "listed with a later incarnation")
 	}
 	c.logEntryChange(w, e)
-	allocated := w.entry.Capacity.Sub(w.free)
+	c.setCapacity(w, e.Capacity)
 	w.entry = e
-	w.free = e.Capacity.Sub(allocated)
 	w.listed = true
 }
 
+// setCapacity replaces a worker's capacity, which may be less than what is allocated.
+// Orphaned runs that count as the whole worker take what is added as well.
+func (c *Cell) setCapacity(w *worker, capacity tanagerwork.Resources) {
+	before := w.entry.Capacity
+	if capacity != before {
+		c.capacityVersion++
+	}
+	if w.orphanUsage != (tanagerwork.Resources{}) && before.FitsIn(w.orphanUsage) {
+		w.setOrphanUsage(w.orphanUsage.Add(capacity.Sub(before)))
+	}
+	w.free = w.free.Add(capacity.Sub(before))
+	w.entry.Capacity = capacity
+}
+
 func (c *Cell) newWorker(e tanagerport.WorkerEntry) *worker {
 	w := &worker{
 		id:           e.ID,
