Keep the policy of a removed queue for jobs that are still on their way

A job that had been accepted just before the operator removed its queue could reach the scheduler after the configuration. Since the scheduler forgets removed queues, such a job got none of its queue's policy: it was started without the ticket that its workers ask for, refused, and tried again every 20 ms, and its first failed run would have ended it.

The policy is kept for removedQueueRetention.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -188,9 +188,9 @@
 // queue holds the configuration and the statistics of a queue.
 type queue struct {
 	config tanagerport.Queue
-	// configured is false for a queue that the operator has removed.
-	configured bool
-	jobCount   int
+	// removedAt is when the operator removed the queue; zero if it is configured.
+	removedAt time.Time
+	jobCount  int
 	// meanMaxWait is the moving average of the longest time that a new job can
 	// wait and still have a result of use: expiryFactor times its objective less
 	// the length of its critical path.
@@ -245,15 +245,17 @@
 // Configure applies the operator's configuration. Queues that it no longer
 // contains keep their jobs.
 func (c *Cell) Configure(config tanagerport.Configuration) {
-	for _, q := range c.queues {
-		q.configured = false
-	}
+	present := make(map[string]bool, len(config.Queues))
 	for _, q := range config.Queues {
+		present[q.Name] = true
 		known := c.findOrAddQueue(q.Name, q.Service)
 		known.config = q
-		known.configured = true
+		known.removedAt = time.Time{}
 	}
-	for _, q := range c.queues {
+	for name, q := range c.queues {
+		if !present[name] && q.removedAt.IsZero() {
+			q.removedAt = c.now
+		}
 		c.forgetUnusedQueue(q)
 	}
 	clear(c.services)
@@ -263,10 +265,15 @@
 	c.capacityVersion++
 }
 
-// forgetUnusedQueue removes a queue that the operator has removed and that has no
-// jobs.
+// removedQueueRetention is how long the policy of a removed queue is kept for jobs
+// that were accepted before and are still on their way, or that a daemon accepts
+// before it has read the configuration.
+const removedQueueRetention = 30 * time.Second
+
+// forgetUnusedQueue forgets a queue without jobs that the operator has removed
+// removedQueueRetention ago.
 func (c *Cell) forgetUnusedQueue(q *queue) {
-	if q.configured || q.jobCount > 0 {
+	if q.removedAt.IsZero() || q.jobCount > 0 || c.now.Sub(q.removedAt) < removedQueueRetention {
 		return
 	}
 	delete(c.queues, q.config.Name)
@@ -284,6 +291,7 @@
 				Service: service,
 				Stretch: 1,
 			},
+			removedAt:     c.now,
 			approvedShare: initialApprovedShare,
 		}
 		c.queues[name] = q
