Send large hints less often

Hints still grow with the queues that have jobs.

Hints are now sent at 7 KB a second to a daemon, at least every 1.2 s, which leaves time to use them before they count as too old. A message without hints goes out in between, as the daemons watch by it whether the scheduler lives; the age of the hints and of that contact are kept apart. Deployments with few queues send hints as often as before.

TestHintsOfBusyQueuesAreSentLessOften fails without the pause. TestIdleQueuesDoNotGrowHintMessages is as strict as before and fails with idle queues in the hints.

--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -83,6 +83,10 @@
 	writer            *storeWriter
 	lastTick          time.Time
 	lastHintBroadcast time.Time
+	// lastHintsSent is when the last broadcast with hints was sent, hintBytes the size
+	// of its message.
+	lastHintsSent time.Time
+	hintBytes     int
 	// members holds the daemons that send heartbeats to this scheduler.
 	members     map[string]member
 	lastRemoval time.Time
@@ -107,8 +111,11 @@
 	lastHeartbeat   time.Time
 	// heartbeatInterval is what the scheduler last asked for.
 	heartbeatInterval time.Duration
-	hintsReceivedAt   time.Time
-	hints             map[string]tanagerdispatch.AdmissionHint
+	// schedulerHeardAt is when the scheduler last sent a message with or without
+	// hints, hintsReceivedAt when it last sent hints.
+	schedulerHeardAt time.Time
+	hintsReceivedAt  time.Time
+	hints            map[string]tanagerdispatch.AdmissionHint
 	// storeUp reports whether the last call to the store succeeded, and
 	// lastStoreSuccess when a call last did. storeDownSince and storeUpSince are
 	// when storeUp last became false and true.
@@ -223,7 +230,7 @@
 		Int64("starts", counters.Starts).Int64("stops", counters.Stops).Int64("polls", counters.Polls).
 		Int64("advice_calls", counters.AdviceCalls).Int64("notes_dropped", counters.EventsDropped).
 		Dur("longest_gap_ms", c.longestStepGap).Dur("longest_tick_ms", c.longestTick).
-		Int("queues", load.Queues).Int("untried", load.UntriedSteps).
+		Int("queues", load.Queues).Int("hint_bytes", c.hintBytes).Int("untried", load.UntriedSteps).
 		Int("unwritten", load.UnwrittenJobs).Int("writes_in_flight", c.writer.progressInFlight).Send()
 	c.longestStepGap, c.longestTick = 0, 0
 }
@@ -238,7 +245,7 @@
 	}
 	if now.Sub(c.lastHeartbeat) >= max(c.heartbeatInterval, baseHeartbeatInterval) && c.leader.holder.Member != "" {
 		c.lastHeartbeat = now
-		hintsMissing := now.Sub(c.hintsReceivedAt) > memberTimeout
+		hintsMissing := now.Sub(c.schedulerHeardAt) > memberTimeout
 		if hintsMissing {
 			c.resetConnection(c.leader.holder.Member, now)
 		}
@@ -411,12 +418,7 @@
 		return
 	}
 	c.lastHintBroadcast = now
-	hints, _ := c.cell.AdmissionHints()
-	msg := tanagerwire.Encode(hintsMessage{
-		HeartbeatInterval: interval,
-		Epoch:             c.cell.Epoch(),
-		Hints:             hints,
-	})
+	msg := c.encodeHints(now, interval)
 	advisers := make([]string, 0, len(c.members))
 	for name, m := range c.members {
 		if now.Sub(m.lastHeartbeat) > memberTimeout {
@@ -431,6 +433,25 @@
 	c.cell.SetAdvisers(advisers)
 }
 
+// encodeHints returns the next message to the daemons. Large hints are sent less
+// often, at hintBytesPerSecond; the messages in between have none.
+func (c *control) encodeHints(now time.Time, heartbeatInterval time.Duration) []byte {
+	msg := hintsMessage{
+		HeartbeatInterval: heartbeatInterval,
+		Epoch:             c.cell.Epoch(),
+	}
+	pause := time.Duration(c.hintBytes) * time.Second / hintBytesPerSecond
+	if now.Sub(c.lastHintsSent) < min(pause, maxHintInterval) {
+		msg.Unchanged = true
+		return tanagerwire.Encode(msg)
+	}
+	msg.Hints, _ = c.cell.AdmissionHints()
+	encoded := tanagerwire.Encode(msg)
+	c.lastHintsSent = now
+	c.hintBytes = len(encoded)
+	return encoded
+}
+
 // jobState answers another daemon's request for the state of a job.
 func (c *control) jobState(id tanagerwork.JobID, correlationID uint64) stateResponse {
 	response := stateResponse{CorrelationID: correlationID}
--- a/tanagerd/tanagercell/election.go
+++ b/tanagerd/tanagercell/election.go
@@ -43,7 +43,7 @@
 	}
 	if c.campaignAt.IsZero() {
 		c.campaignAt = now.Add(campaignDelay(c.settings.Weight, c.random))
-		if c.cell == nil && c.exitedScheduler == "" && now.Sub(c.hintsReceivedAt) < memberTimeout {
+		if c.cell == nil && c.exitedScheduler == "" && now.Sub(c.schedulerHeardAt) < memberTimeout {
 			c.campaignAt = c.campaignAt.Add(incumbentHeadStart)
 		}
 	}
--- a/tanagerd/tanagercell/forward.go
+++ b/tanagerd/tanagercell/forward.go
@@ -86,11 +86,11 @@
 	}
 }
 
-// canForward reports whether another daemon is the scheduler and its hints are
-// recent.
+// canForward reports whether another daemon is the scheduler and was heard
+// recently.
 func (f *Frontend) canForward(v *view) bool {
 	return v.scheduler != "" && v.scheduler != f.control.member &&
-		f.control.timer.Now().Sub(v.hintsReceivedAt) < maxForwardHintAge
+		f.control.timer.Now().Sub(v.schedulerHeardAt) < maxSchedulerSilence
 }
 
 func replyFor(o submitOutcome) tanagerport.Reply {
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -57,13 +57,16 @@
 	storeUpSince     time.Time
 }
 
-// hintsMessage carries the scheduler's hints by queue.
+// hintsMessage carries the scheduler's hints by queue. It also tells that the
+// scheduler is alive.
 type hintsMessage struct {
 	// HeartbeatInterval is the interval at which daemons should send
 	// heartbeats.
 	HeartbeatInterval time.Duration                            `json:"every"`
 	Epoch             uint64                                   `json:"epoch"`
-	Hints             map[string]tanagerdispatch.AdmissionHint `json:"hints"`
+	Hints             map[string]tanagerdispatch.AdmissionHint `json:"hints,omitempty"`
+	// Unchanged is set if the message has no hints, and those before it hold.
+	Unchanged bool `json:"unchanged,omitempty"`
 }
 
 // jobStored notifies the scheduler of a job that is in the store.
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -86,7 +86,7 @@
 	}
 	if _, known := c.members[from]; !known {
 		c.log.Info().Str("event", "daemon_heard").Str("member", from).Send()
-		c.lastHintBroadcast = time.Time{}
+		c.lastHintBroadcast, c.lastHintsSent = time.Time{}, time.Time{}
 	} else if h.HintsMissing {
 		c.resetConnection(from, c.timer.Now())
 	}
@@ -105,9 +105,12 @@
 	if h.Epoch < c.leader.epoch {
 		return
 	}
-	c.hints = h.Hints
 	c.heartbeatInterval = min(h.HeartbeatInterval, largeCellHeartbeatFactor*baseHeartbeatInterval)
-	c.hintsReceivedAt = c.timer.Now()
+	c.schedulerHeardAt = c.timer.Now()
+	if !h.Unchanged {
+		c.hints = h.Hints
+		c.hintsReceivedAt = c.schedulerHeardAt
+	}
 }
 
 // serveAdvice calls the advice service on behalf of the scheduler.
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -104,9 +104,14 @@
 	// forwardTimeout.
 	storeSubmitTimeout = 700 * time.Millisecond
 	forwardTimeout     = 1200 * time.Millisecond
-	// maxForwardHintAge is the maximum age of the scheduler's hints for a
+	// maxSchedulerSilence is how long ago the scheduler may have been heard for a
 	// request to be forwarded to it: three base heartbeat intervals.
-	maxForwardHintAge = 600 * time.Millisecond
+	maxSchedulerSilence = 600 * time.Millisecond
+	// hintBytesPerSecond is the rate at which hints are sent to a daemon, the target
+	// for its control traffic. Hints are nevertheless sent every maxHintInterval, so
+	// that they are used before maxHintAge.
+	hintBytesPerSecond = 7 << 10
+	maxHintInterval    = 1200 * time.Millisecond
 	// maxHintAge is the age after which the scheduler's hints are ignored. It
 	// is also the published bound on the age of a pending count.
 	maxHintAge = 2 * time.Second
--- a/tanagerd/tanagercell/view.go
+++ b/tanagerd/tanagercell/view.go
@@ -9,25 +9,27 @@
 
 // view is the part of the control state that other goroutines may read.
 type view struct {
-	configuration   *tanagerport.Configuration
-	scheduler       string
-	epoch           uint64
-	epochRevision   int64
-	hints           map[string]tanagerdispatch.AdmissionHint
-	hintsReceivedAt time.Time
-	storeUp         bool
-	stopping        bool
+	configuration    *tanagerport.Configuration
+	scheduler        string
+	epoch            uint64
+	epochRevision    int64
+	hints            map[string]tanagerdispatch.AdmissionHint
+	hintsReceivedAt  time.Time
+	schedulerHeardAt time.Time
+	storeUp          bool
+	stopping         bool
 }
 
 func (c *control) publishView() {
 	c.view.Store(&view{
-		configuration:   c.configuration,
-		scheduler:       c.leader.holder.Member,
-		epoch:           c.leader.epoch,
-		epochRevision:   c.leader.epochRevision,
-		hints:           c.hints,
-		hintsReceivedAt: c.hintsReceivedAt,
-		storeUp:         c.storeUp,
-		stopping:        c.stopping,
+		configuration:    c.configuration,
+		scheduler:        c.leader.holder.Member,
+		epoch:            c.leader.epoch,
+		epochRevision:    c.leader.epochRevision,
+		hints:            c.hints,
+		hintsReceivedAt:  c.hintsReceivedAt,
+		schedulerHeardAt: c.schedulerHeardAt,
+		storeUp:          c.storeUp,
+		stopping:         c.stopping,
 	})
 }
