--- a/tanager/tanagerreplay/fault.go
+++ b/tanager/tanagerreplay/fault.go
@@ -29,13 +29,17 @@
 	// SchedulerOutage leaves the cell without a scheduler, which loses its memory.
 	// Jobs are accepted in the meantime.
 	SchedulerOutage FaultKind = "scheduler_outage"
+	// TasksCrash makes a task of a share of the arriving jobs crash each worker
+	// that starts it. The worker returns as a new incarnation.
+	TasksCrash FaultKind = "tasks_crash"
 )
 
 // Fault is a fault that lasts from Start for Duration.
 type Fault struct {
 	Kind            FaultKind
 	Start, Duration time.Duration
-	// Share is the share of the workers that are struck.
+	// Share is the share of the workers that are struck, or of the jobs that
+	// arrive.
 	Share float64
 	// Factor is the factor of WorkersSlow.
 	Factor float64
@@ -64,6 +68,10 @@
 	callTimeout = 400 * time.Millisecond
 	// failedRunDuration is how long a run takes on a worker that fails all runs.
 	failedRunDuration = 100 * time.Millisecond
+	// crashDelay is how long after its start a task crashes its worker, and
+	// restartTime how long the worker is away.
+	crashDelay  = 10 * time.Millisecond
+	restartTime = 3300 * time.Millisecond
 	// unlistDelay is the time after which a silent worker is no longer listed.
 	unlistDelay = 4500 * time.Millisecond
 )
@@ -76,6 +84,9 @@
 func (s *simulation) scheduleFaults(start time.Time) {
 	r := rand.New(rand.NewPCG(s.load.Seed, 2))
 	for _, f := range s.load.Faults {
+		if f.Kind == TasksCrash {
+			continue
+		}
 		var struck []*simWorker
 		for _, i := range r.Perm(s.load.Workers)[:int(f.Share*float64(s.load.Workers))] {
 			struck = append(struck, s.workers[workerID(i)])
@@ -141,6 +152,43 @@
 	}
 }
 
+// drawDeadlyJobs draws the jobs whose first task crashes its workers.
+func (s *simulation) drawDeadlyJobs(arrivals []*arrival) {
+	r := rand.New(rand.NewPCG(s.load.Seed, 5))
+	for _, f := range s.load.Faults {
+		for _, a := range arrivals {
+			if f.Kind == TasksCrash && a.at >= f.Start && a.at < f.Start+f.Duration && r.Float64() < f.Share {
+				a.deadly = true
+			}
+		}
+	}
+}
+
+// crashByTask crashes the worker of a run shortly after its start, if its task is
+// deadly. The worker's connections break at once.
+func (s *simulation) crashByTask(w *simWorker, run *simRun) {
+	t := run.order.Start.Task
+	if !run.job.deadly || t.Step > 0 || t.Index > 0 {
+		return
+	}
+	s.schedule(s.now.Add(crashDelay), func() {
+		if w.runs[t] != run {
+			return
+		}
+		j := s.jobs[t.Job]
+		j.crashes++
+		s.report.WorkerCrashes++
+		s.report.MaxCrashesByTask = max(s.report.MaxCrashesByTask, j.crashes)
+		s.breakPoll(w, workerRoundTrip)
+		s.crash(w)
+		s.schedule(s.now.Add(restartTime), func() {
+			w.down = false
+			w.incarnation++
+			s.listWorkers()
+		})
+	})
+}
+
 // crash ends all runs of a worker without a trace.
 func (s *simulation) crash(w *simWorker) {
 	w.down = true
@@ -205,12 +253,19 @@
 
 // failPoll ends the open poll of a worker without a response.
 func (s *simulation) failPoll(w *simWorker) {
+	if w.poll != nil {
+		s.breakPoll(w, w.poll.Poll.Wait+callTimeout)
+	}
+}
+
+// breakPoll ends the open poll of a worker without a response after d.
+func (s *simulation) breakPoll(w *simWorker, d time.Duration) {
 	if w.poll == nil {
 		return
 	}
 	o, sentAt := *w.poll, w.pollSentAt
 	w.poll = nil
-	s.respondAfter(o.Poll.Wait+callTimeout, func() {
+	s.respondAfter(d, func() {
 		s.scheduler.HandlePollResponse(s.now, o, sentAt, tanagerport.Report{}, outcomeUnknown)
 	})
 }
--- a/tanager/tanagerreplay/pattern.go
+++ b/tanager/tanagerreplay/pattern.go
@@ -95,7 +95,7 @@
 
 func (k FaultKind) known() bool {
 	switch k {
-	case WorkersCrash, WorkersHang, WorkersSlow, WorkersFail, StoreOutage, SchedulerOutage:
+	case WorkersCrash, WorkersHang, WorkersSlow, WorkersFail, StoreOutage, SchedulerOutage, TasksCrash:
 		return true
 	}
 	return false
--- a/tanager/tanagerreplay/pattern_test.go
+++ b/tanager/tanagerreplay/pattern_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// maxCrashesByTask is the most workers that one task may crash: it is not started
+// three times more after three workers have crashed under it.
+const maxCrashesByTask = 5
+
+// Tasks that crash their workers are given up, and only they are.
+func TestDeadlyTasksAreGivenUp(t *testing.T) {
+	for i, r := range playPattern(t, "deadly_tasks") {
+		t.Logf("play %d: %d workers crashed, %d by one task, value %.3f", i, r.WorkerCrashes, r.MaxCrashesByTask, r.ValueRatio())
+		qt.Check(t, r.WorkerCrashes > 0, qt.IsTrue)
+		qt.Check(t, r.MaxCrashesByTask <= maxCrashesByTask, qt.IsTrue, qt.Commentf("play %d: %d crashes", i, r.MaxCrashesByTask))
+		qt.Check(t, r.FailedWithoutCause, qt.Equals, 0, qt.Commentf("play %d", i))
+	}
+}
+
+// Workers that crash for reasons of their own fail no job.
+func TestWorkerCrashesFailNoJob(t *testing.T) {
+	for i, r := range playPattern(t, "crashes_without_culprit") {
+		qt.Check(t, r.FailedWithoutCause, qt.Equals, 0, qt.Commentf("play %d", i))
+	}
+}
+
 // The same seed gives the same play.
 func TestPlaysRepeat(t *testing.T) {
 	patterns, err := Patterns()
--- a/tanager/tanagerreplay/simulation.go
+++ b/tanager/tanagerreplay/simulation.go
@@ -17,6 +17,11 @@
 	Admits(class tanageradmission.Class) bool
 }
 
+// StateReader is a Scheduler that tells the states of jobs.
+type StateReader interface {
+	State(id tanagerwork.JobID) (tanagerwork.State, bool)
+}
+
 // Scheduler is the system under test of a simulation. Its methods are called in
 // order of virtual time.
 type Scheduler interface {
@@ -134,6 +139,8 @@
 	reported map[tanagerwork.TaskName]bool
 	failures map[tanagerwork.TaskName]int
 	started  bool
+	// crashes counts the workers that the job's deadly task has crashed.
+	crashes int
 }
 
 // Simulate runs a load against a scheduler until drainPeriod after the end of
@@ -161,6 +168,7 @@
 		}
 	}
 	arrivals := l.sampleArrivals(start)
+	s.drawDeadlyJobs(arrivals)
 	s.initReport(arrivals)
 	for _, a := range arrivals {
 		s.schedule(start.Add(a.at), func() { s.submit(a) })
@@ -174,7 +182,10 @@
 		s.now = e.time
 		e.run()
 	}
-	for _, j := range s.jobs {
+	for id, j := range s.jobs {
+		if s.shownAsFailed(id) && !j.arrival.deadly {
+			s.report.FailedWithoutCause++
+		}
 		k := &s.report.Kinds[j.arrival.kind]
 		if j.tasksLeft > 0 {
 			k.Unfinished++
@@ -186,6 +197,16 @@
 	return s.report
 }
 
+// shownAsFailed reports whether the scheduler shows a job as failed.
+func (s *simulation) shownAsFailed(id tanagerwork.JobID) bool {
+	r, ok := s.scheduler.(StateReader)
+	if !ok {
+		return false
+	}
+	state, _ := r.State(id)
+	return state == tanagerwork.Failed
+}
+
 func (s *simulation) initReport(arrivals []*arrival) {
 	counts := make([]float64, len(s.load.Kinds))
 	for _, a := range arrivals {
--- a/tanager/tanagerreplay/worker.go
+++ b/tanager/tanagerreplay/worker.go
@@ -43,6 +43,7 @@
 			Clock:  s.workerClock(),
 		}, nil)
 	})
+	s.crashByTask(w, run)
 	if spec.Gang {
 		s.joinGang(run, spec)
 		return
