Give up a task that crashes the workers that start it

Cause: a run that is lost with its worker counted as nobody's end. It was started again at once, for ever, beside other work. An unanswered start was also sent again to the next incarnation of its worker.

Change (tanagerdispatch/crash.go): a crash is attributed to the runs that were started within 0.3 s before it. Their tasks are suspects: the next start goes to another worker on which nothing else starts for 0.3 s before and after, the one with the fewest runs. A run that outlives this clears its task. A second crash in a row on another worker with no other suspect, or a third one, gives the task up, and its job is shown as failed. Long-running tasks need three, the last with no other suspect. Crashes are counted by run number, once for a gang's run, and stored in the progress; a suspect waits for that write, 80 ms at most. Workers that drain or are in maintenance blame nobody. A start without a response is not sent to the next incarnation.

--- /dev/null
+++ b/tanager/tanagerdispatch/crash.go
@@ -0,0 +1,226 @@
+package tanagerdispatch
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// The decisions of this file answer tasks that crash each worker that starts
+// them. All other runs on such a worker are lost with it, and the worker is away
+// for seconds, so a task must be found out after few crashes. Those that merely
+// shared its workers must not be given up with it.
+//
+// A worker's crash is attributed to the runs that may have started within
+// crashWindow before it. Their tasks are suspects until a run of theirs outlives
+// crashWindow. A suspect is started where no other run has been started within
+// crashWindow, and no other follows within that time, so that the next crash
+// separates the culprit from the others.
+
+const (
+	// crashWindow is how long after its start a task may crash its worker.
+	crashWindow = 300 * time.Millisecond
+	// maxCrashes is the number of crashes in a row that are attributed to a task
+	// after which the task is given up. maxSoleCrashes is the number that suffices
+	// if the last one can be attributed to no other job.
+	maxCrashes     = 3
+	maxSoleCrashes = 2
+	// maxCrashWriteWait bounds how long a suspect waits until its crashes are
+	// stored, so that a successor continues to count.
+	maxCrashWriteWait = 80 * time.Millisecond
+)
+
+// suspicion tells whether a run may have crashed its worker.
+type suspicion uint8
+
+const (
+	// unsuspected runs had outlived crashWindow.
+	unsuspected suspicion = iota
+	// suspectedWithOthers runs were started shortly before the crash, as were runs
+	// of other jobs, or the time of the crash is not certain.
+	suspectedWithOthers
+	// suspectedAlone runs belong to the only job that was started shortly before
+	// the crash.
+	suspectedAlone
+)
+
+// recordAlive records a response of a worker.
+func (w *worker) recordAlive(now time.Time) {
+	w.lastAlive = now
+	w.silentSince = time.Time{}
+}
+
+// recordSilent records a call to a worker that got no response.
+func (w *worker) recordSilent(now time.Time) {
+	if w.silentSince.IsZero() {
+		w.silentSince = now
+	}
+}
+
+// suspectAttempts determines which attempts may have crashed a worker whose
+// incarnation has ended. If restarted is false, the worker may also have been
+// cut off. Workers that were about to leave have not crashed.
+func (c *Cell) suspectAttempts(w *worker, restarted bool) {
+	if w.entry.Draining || !w.cordonedAt.IsZero() {
+		return
+	}
+	w.recordSilent(c.now)
+	var suspects []*attempt
+	for _, a := range w.attempts {
+		if a.mayHaveCrashed(w) {
+			suspects = append(suspects, a)
+		}
+	}
+	for _, a := range suspects {
+		otherJob := slices.ContainsFunc(suspects, func(o *attempt) bool { return o.step.job != a.step.job })
+		a.suspicion = suspectedWithOthers
+		if restarted && !otherJob && w.silentSince.Sub(a.startSentAt) <= crashWindow {
+			a.suspicion = suspectedAlone
+		}
+	}
+}
+
+// mayHaveCrashed reports whether an attempt may have started within crashWindow
+// before its worker crashed, which was between the last response and the first
+// call without one.
+func (a *attempt) mayHaveCrashed(w *worker) bool {
+	if a.startSentAt.After(w.silentSince) || a.suspicion != unsuspected {
+		return false
+	}
+	return a.startedAt.IsZero() || !a.startSentAt.Add(crashWindow).Before(w.lastAlive)
+}
+
+// crashes returns the runs in a row of a task, or of its gang, under which their
+// workers have crashed.
+func (s *step) crashes(index int) *tanagerwork.FailedRuns {
+	if s.spec.Gang {
+		return &s.gang.crashes
+	}
+	return &s.tasks[index].crashes
+}
+
+// suspect reports whether a task, or its gang, may crash the worker that starts it.
+func (s *step) suspect(index int) bool { return len(*s.crashes(index)) > 0 }
+
+func (s *step) hasSuspects() bool {
+	for i := range s.tasks {
+		if !s.tasks[i].done && s.suspect(i) {
+			return true
+		}
+	}
+	return false
+}
+
+// recordCrash counts the crash of a worker under an attempt that has been
+// removed, and gives its task up after too many.
+func (c *Cell) recordCrash(a *attempt) {
+	s := a.step
+	if a.suspicion == unsuspected || s.job.state.Final() {
+		return
+	}
+	crashes := s.crashes(a.index)
+	if !crashes.Add(a.run) {
+		return
+	}
+	alone := a.suspicion == suspectedAlone && !s.crashedBefore(a.worker)
+	c.markDirty(s.job)
+	s.crashVersion = s.job.progressVersion
+	s.crashedAt = c.now
+	s.crashedWorker = a.worker.ref()
+	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, suspected alone: %t", len(*crashes), alone))
+	if s.crashLimitReached(len(*crashes), alone) {
+		c.logAttempt("task_given_up", a, fmt.Sprintf("%d workers have crashed under it", len(*crashes)))
+		c.finishJob(s.job, tanagerwork.Failed, "a task crashes its workers")
+	}
+}
+
+// crashedBefore reports whether the last crash under a task of the step happened
+// to the same worker or to another one at its address. A worker may crash again
+// and again for reasons of its own.
+func (s *step) crashedBefore(w *worker) bool {
+	last := s.crashedWorker
+	return w.id == last.ID || w.entry.Address.IsValid() && w.entry.Address == last.Address
+}
+
+// crashLimitReached reports whether a task is given up. A long-running task, which
+// must otherwise be restarted however it ends, needs all crashes and a certain
+// one.
+func (s *step) crashLimitReached(count int, alone bool) bool {
+	if s.spec.LongRunning {
+		return count >= maxCrashes && alone
+	}
+	return count >= maxCrashes || count >= maxSoleCrashes && alone
+}
+
+// recordSurvival clears a task of suspicion if a run of it, or all members of its
+// gang, have outlived crashWindow. The run was in the report to a poll sent at
+// sentAt.
+func (c *Cell) recordSurvival(a *attempt, sentAt time.Time) {
+	s := a.step
+	a.suspicion = unsuspected
+	if a.survived || sentAt.Before(a.startSentAt.Add(crashWindow)) {
+		return
+	}
+	a.survived = true
+	if !s.suspect(a.index) || s.spec.Gang && !s.allSurvived() {
+		return
+	}
+	*s.crashes(a.index) = nil
+	c.markDirty(s.job)
+}
+
+func (s *step) allSurvived() bool {
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a == nil || !a.survived {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitsCrashWrite reports whether a step waits until its last crash is stored.
+func (c *Cell) awaitsCrashWrite(s *step) bool {
+	return s.crashVersion > s.job.storedVersion && c.now.Sub(s.crashedAt) < maxCrashWriteWait
+}
+
+// isolatedWorker returns the worker for a suspect, among those where no run has
+// been started within crashWindow: preferably not the one that crashed last, and
+// the one with the fewest runs. It returns nil if there is none.
+func (c *Cell) isolatedWorker(s *step) *worker {
+	var best *worker
+	for _, w := range c.candidateWorkers(s) {
+		if c.now.Sub(w.lastStartAt) <= crashWindow || !c.canPlace(w, s) {
+			continue
+		}
+		if best == nil || s.compareIsolation(w, best) < 0 {
+			best = w
+		}
+	}
+	return best
+}
+
+func (s *step) compareIsolation(a, b *worker) int {
+	return cmp.Or(
+		compareBool(s.crashedBefore(a), s.crashedBefore(b)),
+		cmp.Compare(len(a.attempts), len(b.attempts)),
+	)
+}
+
+// beginProbation keeps other tasks off a worker while a suspect may crash it.
+func (c *Cell) beginProbation(w *worker) {
+	w.probationUntil = c.now.Add(crashWindow)
+	c.probations = append(c.probations, w)
+}
+
+// endProbations gives workers that have outlived the start of a suspect new work
+// again.
+func (c *Cell) endProbations() {
+	count := len(c.probations)
+	c.probations = slices.DeleteFunc(c.probations, func(w *worker) bool { return !c.now.Before(w.probationUntil) })
+	if len(c.probations) < count {
+		c.capacityVersion++
+	}
+}
--- a/tanager/tanagerdispatch/crash_test.go
+++ b/tanager/tanagerdispatch/crash_test.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"fmt"
 	"slices"
 	"strconv"
 	"testing"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwire"
 	"tanagersail.example/tanager/tanagerwork"
 )
 
@@ -27,11 +29,16 @@
 	newIDs  bool
 	deadly  func(tanagerwork.TaskName) bool
 	workers map[string]*fleetWorker
-	// starts are the accepted starts by job, crashes the number of crashed
-	// workers.
-	starts       map[tanagerwork.JobID][]StartOrder
-	crashes      int
-	taskDuration time.Duration
+	// badWorker crashes whatever it starts; crashNextStart lets the next start crash
+	// its worker.
+	badWorker      string
+	crashNextStart bool
+	taskDuration   time.Duration
+	// starts are the accepted starts by job, startedAt the time of the last one, and
+	// crashes the number of crashed workers.
+	starts    map[tanagerwork.JobID][]StartOrder
+	startedAt map[tanagerwork.JobID]time.Time
+	crashes   int
 }
 
 // fleetWorker is a worker of a crashFleet.
@@ -60,6 +67,7 @@
 		},
 		workers:      make(map[string]*fleetWorker),
 		starts:       make(map[tanagerwork.JobID][]StartOrder),
+		startedAt:    make(map[tanagerwork.JobID]time.Time),
 		taskDuration: 2 * time.Second,
 	}
 	for i := range size {
@@ -101,6 +109,15 @@
 	}
 }
 
+// runUntil advances the time until a condition holds, for a minute at most.
+func (f *crashFleet) runUntil(holds func() bool) {
+	f.c.Helper()
+	for end := f.now.Add(time.Minute); !holds(); {
+		f.c.Assert(f.now.Before(end), qt.IsTrue)
+		f.run(crashTestTick)
+	}
+}
+
 func (f *crashFleet) restartWorkers() {
 	for _, id := range sortedKeys(f.workers) {
 		w := f.workers[id]
@@ -136,8 +153,10 @@
 		},
 		startedAt: f.now,
 	})
+	f.startedAt[o.Start.Task.Job] = f.now
 	f.accept(o)
-	if f.deadly(o.Start.Task) {
+	if f.deadly(o.Start.Task) || o.Worker.ID == f.badWorker || f.crashNextStart {
+		f.crashNextStart = false
 		f.crash(w)
 	}
 }
@@ -151,7 +170,12 @@
 
 func (f *crashFleet) stop(o StopOrder) {
 	w := f.workers[o.Worker.ID]
-	if w.down || w.replaced {
+	switch {
+	case w.down:
+		f.cell.HandleStopResponse(f.now, o, tanagerport.Response{}, tanagerport.OutcomeUnknown.New("connection refused"))
+		return
+	case w.replaced:
+		f.cell.HandleStopResponse(f.now, o, tanagerport.Response{Status: tanagerport.OtherIncarnation}, nil)
 		return
 	}
 	f.end(w, o.Stop.Task, o.Stop.Run, tanagerport.EndedStopped)
@@ -194,6 +218,7 @@
 		Ended:       slices.Clone(w.ended),
 	}
 	for _, active := range w.running {
+		active.Percent = int(100 * f.now.Sub(active.startedAt) / f.taskDuration)
 		r.Running = append(r.Running, active.ActiveRun)
 	}
 	f.respondToPoll(o, r)
@@ -229,3 +254,293 @@
 		})
 	}
 }
+
+// Jobs that shared workers with deadly tasks from the start complete.
+func TestBystandersOfCrashesComplete(t *testing.T) {
+	for name, newIDs := range map[string]bool{"same id": false, "new id": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newCrashFleet(t, 6, "0000000000000001", "0000000000000002", "0000000000000003")
+			f.newIDs = newIDs
+			var bystanders []tanagerwork.JobID
+			for i := 1; i <= 12; i++ {
+				r := testRecord(fmt.Sprintf("%02x", i), testStep(1, 300))
+				f.add(r)
+				if i > 3 {
+					bystanders = append(bystanders, r.ID)
+				}
+			}
+			f.run(time.Minute)
+			for _, id := range bystanders {
+				f.checkState(id, tanagerwork.Completed)
+			}
+			for _, id := range []tanagerwork.JobID{"0000000000000001", "0000000000000002", "0000000000000003"} {
+				f.checkState(id, tanagerwork.Failed)
+			}
+			f.c.Check(f.crashes <= 3*maxSoleCrashes, qt.IsTrue, qt.Commentf("%d crashes", f.crashes))
+		})
+	}
+}
+
+// A worker that crashes whatever it starts fails no job while there are others.
+func TestCrashingWorkerFailsNoJob(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.badWorker = "w0"
+	var ids []tanagerwork.JobID
+	for i := 1; i <= 8; i++ {
+		r := testRecord(fmt.Sprintf("%02x", i), testStep(1, 500))
+		f.add(r)
+		ids = append(ids, r.ID)
+		f.run(2 * time.Second)
+	}
+	f.run(time.Minute)
+	f.c.Check(f.crashes > 0, qt.IsTrue)
+	for _, id := range ids {
+		f.checkState(id, tanagerwork.Completed)
+	}
+}
+
+// While a suspect may crash its worker, the worker gets no other task.
+func TestSuspectIsStartedAlone(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.badWorker = "w0"
+	suspect := testRecord("01", testStep(1, 500))
+	f.add(suspect)
+	f.run(200 * time.Millisecond)
+	f.c.Assert(f.crashes, qt.Equals, 1)
+	f.badWorker = ""
+	other := testRecord("02", testStep(1, 500))
+	f.add(other)
+	f.run(restartTime + time.Second)
+	f.c.Assert(f.starts[suspect.ID], qt.HasLen, 2)
+	f.c.Assert(f.starts[other.ID], qt.HasLen, 1)
+	apart := f.startedAt[other.ID].Sub(f.startedAt[suspect.ID]).Abs()
+	f.c.Check(apart >= crashWindow, qt.IsTrue, qt.Commentf("started %v apart", apart))
+}
+
+// A worker that a suspect may crash gets other tasks once it has outlived that
+// time, also if nothing else changes.
+func TestWorkIsStartedAfterProbation(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.taskDuration = time.Minute
+	f.crashNextStart = true
+	suspect := testRecord("01", testStep(1, 500))
+	f.add(suspect)
+	f.runUntil(func() bool { return len(f.starts[suspect.ID]) == 2 })
+	other := testRecord("02", testStep(1, 500))
+	f.add(other)
+	f.run(crashWindow / 2)
+	f.c.Check(f.starts[other.ID], qt.HasLen, 0)
+	f.run(crashWindow)
+	f.c.Check(f.starts[other.ID], qt.HasLen, 1)
+}
+
+// A suspect is started once a worker has had no other start for some time, also if
+// nothing else changes.
+func TestSuspectIsStartedAfterOthers(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.taskDuration = time.Minute
+	f.crashNextStart = true
+	suspect := testRecord("01", testStep(1, 500))
+	f.add(suspect)
+	f.runUntil(func() bool { return f.cell.jobs[suspect.ID].steps[0].hasSuspects() })
+	other := testRecord("02", testStep(1, 500))
+	f.add(other)
+	f.cell.workers["w0"].lastStartAt = f.now
+	f.run(crashWindow / 2)
+	f.c.Check(f.starts[suspect.ID], qt.HasLen, 1)
+	f.run(2 * crashWindow)
+	f.c.Check(f.starts[suspect.ID], qt.HasLen, 2)
+}
+
+// Who is blamed for a crash.
+func TestSuspicion(t *testing.T) {
+	first := testRecord("01", testStep(2, 500))
+	second := testRecord("02", testStep(1, 500))
+	for name, tc := range map[string]struct {
+		records                 []tanagerwork.Record
+		silentAfter, knownAfter time.Duration
+		leaseExpired            bool
+		want                    suspicion
+	}{
+		"tasks of one job":      {records: []tanagerwork.Record{first}, want: suspectedAlone},
+		"tasks of two jobs":     {records: []tanagerwork.Record{first, second}, want: suspectedWithOthers},
+		"noticed late":          {records: []tanagerwork.Record{first}, silentAfter: 2 * crashWindow, want: suspectedWithOthers},
+		"no restart seen":       {records: []tanagerwork.Record{first}, leaseExpired: true, want: suspectedWithOthers},
+		"responded before that": {records: []tanagerwork.Record{first}, knownAfter: 2 * crashWindow, want: unsuspected},
+	} {
+		h := newHarness(t, 1)
+		h.setWorkers(testWorker("a", 1))
+		h.sync()
+		for _, r := range tc.records {
+			h.cell.AddJob(h.now, r, nil)
+		}
+		for _, o := range h.tick(20 * time.Millisecond).Starts {
+			h.accept(o)
+		}
+		w := h.cell.workers["a"]
+		w.lastAlive = h.now.Add(tc.knownAfter)
+		h.cell.now = h.now.Add(tc.silentAfter + tc.knownAfter)
+		h.cell.suspectAttempts(w, !tc.leaseExpired)
+		for _, a := range w.attempts {
+			h.c.Check(a.suspicion, qt.Equals, tc.want, qt.Commentf("%s", name))
+		}
+	}
+}
+
+// The second crash of the same worker does not suffice to give a task up.
+func TestSecondCrashOfOneWorkerIsNotDecisive(t *testing.T) {
+	f := newCrashFleet(t, 1)
+	f.badWorker = "w0"
+	r := testRecord("01", testStep(1, 500))
+	f.add(r)
+	f.run(2*restartTime + time.Second)
+	f.c.Assert(f.crashes, qt.Equals, 3)
+	f.checkState(r.ID, tanagerwork.Running)
+}
+
+// A gang is suspected until all its members have outlived the time after their
+// start.
+func TestGangIsSuspectedUntilAllMembersSurvive(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.sync()
+	starts := h.submit(testRecord("01", gangStep(2, 3000)))
+	h.c.Assert(starts, qt.HasLen, 2)
+	s := h.cell.jobs[starts[0].Start.Task.Job].steps[0]
+	s.gang.crashes = tanagerwork.FailedRuns{1}
+	for i := range s.tasks {
+		h.c.Check(s.suspect(0), qt.IsTrue)
+		h.cell.recordSurvival(s.tasks[i].attempt, h.now.Add(crashWindow))
+	}
+	h.c.Check(s.suspect(0), qt.IsFalse)
+}
+
+// A run that has outlived the time after its start is not blamed for a crash.
+func TestLongRunsAreNotSuspected(t *testing.T) {
+	f := newCrashFleet(t, 2)
+	f.taskDuration = 10 * time.Second
+	r := testRecord("01", testStep(1, 500))
+	f.add(r)
+	for range 4 {
+		f.run(restartTime + 2*time.Second)
+		for _, id := range sortedKeys(f.workers) {
+			if w := f.workers[id]; len(w.running) > 0 {
+				f.crash(w)
+			}
+		}
+	}
+	f.run(restartTime + 11*time.Second)
+	f.checkState(r.ID, tanagerwork.Completed)
+	f.c.Check(len(f.cell.jobs[r.ID].steps[0].tasks[0].crashes), qt.Equals, 0)
+}
+
+// A run that outlives the time after its start ends the count of crashes in a row.
+func TestSurvivalClearsSuspect(t *testing.T) {
+	f := newCrashFleet(t, 3)
+	f.taskDuration = time.Minute
+	r := testRecord("01", testStep(1, 500))
+	f.add(r)
+	for range 4 {
+		f.crashNextStart = true
+		f.run(2*restartTime + 2*time.Second)
+		for _, id := range sortedKeys(f.workers) {
+			if w := f.workers[id]; len(w.running) > 0 {
+				f.crash(w)
+			}
+		}
+	}
+	f.checkState(r.ID, tanagerwork.Running)
+}
+
+// A worker that is about to leave takes its runs with it without a crash.
+func TestLeavingWorkerBlamesNoTask(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	start := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.accept(start)
+	draining := testWorker("a", 1)
+	draining.Draining = true
+	draining.TerminatesIn = 3 * time.Second
+	h.setWorkers(draining)
+	h.cell.loseAttempts(h.cell.workers["a"], "another incarnation responded at its address", true)
+	h.c.Check(h.cell.jobs[start.Start.Task.Job].steps[0].hasSuspects(), qt.IsFalse)
+}
+
+// A long-running task is given up only after all crashes.
+func TestLongRunningTaskIsGivenUpLast(t *testing.T) {
+	s := testStep(1, 500)
+	s.LongRunning = true
+	r := testRecord("01", s)
+	f := newCrashFleet(t, 6, r.ID)
+	f.add(r)
+	f.run(time.Minute)
+	f.c.Check(f.crashes, qt.Equals, maxCrashes)
+	f.checkState(r.ID, tanagerwork.Failed)
+}
+
+// A successor continues to count the crashes under a task.
+func TestCrashesAreRestored(t *testing.T) {
+	for name, s := range map[string]tanagerwork.Step{"single": testStep(1, 500), "gang": gangStep(2, 500)} {
+		h := newHarness(t, 1)
+		h.setWorkers(testWorker("a", 1))
+		h.sync()
+		r := testRecord("01", s)
+		for _, o := range h.submit(r) {
+			h.accept(o)
+		}
+		h.cell.loseAttempts(h.cell.workers["a"], "another incarnation responded at its address", true)
+		snapshots := h.cell.TakeSnapshots(10)
+		h.c.Assert(snapshots, qt.HasLen, 1)
+		stored := tanagerwire.Encode(snapshots[0].Progress)
+		var progress tanagerwork.Progress
+		h.c.Assert(tanagerwire.Decode(stored, &progress), qt.IsNil)
+
+		successor := newHarness(t, 2)
+		successor.setWorkers(testWorker("b", 1))
+		successor.sync()
+		r.Epoch = 1
+		successor.cell.AddJob(successor.now, r, &progress)
+		for _, o := range successor.tick(20 * time.Millisecond).Starts {
+			successor.accept(o)
+		}
+		successor.cell.loseAttempts(successor.cell.workers["b"], "another incarnation responded at its address", true)
+		successor.storeProgress()
+		state, _ := successor.cell.State(r.ID)
+		successor.c.Check(state, qt.Equals, tanagerwork.Failed, qt.Commentf("%s", name))
+	}
+}
+
+// A suspect is started again only when its crash is stored, so that a successor
+// knows of it, or after maxCrashWriteWait.
+func TestSuspectWaitsForItsCrashToBeStored(t *testing.T) {
+	for name, stored := range map[string]bool{"stored": true, "store away": false} {
+		h := newHarness(t, 1)
+		h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+		h.sync()
+		start := h.submit(testRecord("01", testStep(1, 500)))[0]
+		h.accept(start)
+		h.cell.loseAttempts(h.cell.workers[start.Worker.ID], "another incarnation responded at its address", true)
+		h.c.Check(h.tick(20*time.Millisecond).Starts, qt.HasLen, 0, qt.Commentf("%s", name))
+		wait := maxCrashWriteWait
+		if stored {
+			h.storeProgress()
+			wait = 20 * time.Millisecond
+		}
+		h.c.Check(h.tick(wait).Starts, qt.HasLen, 1, qt.Commentf("%s", name))
+	}
+}
+
+// An unanswered start that crashed its worker was sent to the next incarnation
+// as well.
+func TestUnansweredStartIsNotSentToNextIncarnation(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	first := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.setWorkers(testWorker("a", 2))
+	h.cell.HandleStartResponse(h.now, first, tanagerport.Response{}, tanagerport.OutcomeUnknown.New("connection reset"))
+	out := h.tick(20 * time.Millisecond)
+	h.c.Check(out.Starts, qt.HasLen, 0)
+	h.c.Check(out.Stops, qt.HasLen, 1)
+}
--- a/tanager/tanagerdispatch/doc.go
+++ b/tanager/tanagerdispatch/doc.go
@@ -19,6 +19,8 @@
 //     are reported to package tanageradmission, which decides which jobs are
 //     rejected and after which time to retry.
 //   - health.go: avoidance of workers that fail, stall or slow down their runs.
+//   - crash.go: isolation of tasks that may have crashed their workers, and giving
+//     up those that have.
 //   - advice.go: placement advice for steps that only some workers may run, from
 //     an external service of limited throughput.
 //   - drain.go: stopping of runs on workers that are about to terminate.
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tanagersail.example/tanager/tanagerport"
 	"tanagersail.example/tanager/tanagerwork"
 )
 
@@ -65,6 +66,12 @@
 	// blockedVersion is the capacityVersion at which the step was last found not
 	// to fit.
 	blockedVersion uint64
+	// crashVersion is the version of the job's progress that contains the last
+	// crash under a task of the step. It was recorded at crashedAt and happened to
+	// crashedWorker.
+	crashVersion  int64
+	crashedAt     time.Time
+	crashedWorker tanagerport.WorkerRef
 }
 
 // gangState is the state that the members of a gang share.
@@ -72,6 +79,7 @@
 	// lastRun is the highest run number of the gang.
 	lastRun    int64
 	failures   tanagerwork.FailedRuns
+	crashes    tanagerwork.FailedRuns
 	checkpoint string
 	// reservation lists the workers on which capacity is reserved until the gang
 	// starts.
@@ -86,6 +94,7 @@
 type task struct {
 	done       bool
 	failures   tanagerwork.FailedRuns
+	crashes    tanagerwork.FailedRuns
 	lastRun    int64
 	checkpoint string
 	attempt    *attempt
@@ -106,12 +115,16 @@
 // attempt is one run of a task on a worker. Its capacity stays allocated until
 // the attempt is removed.
 type attempt struct {
-	step       *step
-	index      int
-	run        int64
-	worker     *worker
-	phase      phase
-	startsSent int
+	step   *step
+	index  int
+	run    int64
+	worker *worker
+	// incarnation is that of the worker when the attempt was created.
+	incarnation int64
+	phase       phase
+	startsSent  int
+	// startSentAt is when the start was first sent; zero for an adopted run.
+	startSentAt time.Time
 	// phaseSince is when the present phase began.
 	phaseSince time.Time
 	// startedAt is when the worker accepted the start or first reported the run.
@@ -129,6 +142,9 @@
 	cpuPercent      int
 	cpuPercentSetAt time.Time
 	gauge           float64
+	suspicion       suspicion
+	// survived is set once the run has been reported after crashWindow.
+	survived bool
 }
 
 func (a *attempt) name() tanagerwork.TaskName {
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -37,6 +37,7 @@
 // incarnation continues, but orders that were in flight may have reached the new
 // one, so the attempts are kept until its first report.
 func (c *Cell) replaceIncarnation(w *worker, incarnation int64, reason string) {
+	c.suspectAttempts(w, true)
 	c.logEvent(LogEvent{
 		Name:   "worker_reborn",
 		Worker: w.id,
@@ -48,6 +49,7 @@
 	w.attemptsExpireAt = c.now.Add(2*c.settings.Lease + leaseExpiryMargin)
 	w.cordonedAt = time.Time{}
 	w.setOrphanUsage(tanagerwork.Resources{})
+	w.lastStartAt, w.probationUntil = time.Time{}, time.Time{}
 	w.clock, w.leaseEnd = 0, 0
 	w.lastAppliedEnd, w.acknowledgedEnd = 0, 0
 	w.pendingAcks = nil
@@ -58,8 +60,9 @@
 }
 
 // loseAttempts removes all attempts of a worker after their runs have certainly
-// ended.
-func (c *Cell) loseAttempts(w *worker, reason string) {
+// ended, because the worker has restarted or its lease has expired.
+func (c *Cell) loseAttempts(w *worker, reason string, restarted bool) {
+	c.suspectAttempts(w, restarted)
 	for _, a := range slices.Clone(w.attempts) {
 		c.counters.Lost++
 		c.logEvent(LogEvent{
@@ -79,6 +82,7 @@
 func (c *Cell) loseAttempt(a *attempt) {
 	s := a.step
 	c.removeAttempt(a)
+	c.recordCrash(a)
 	if s.spec.Gang && a.run == s.gang.lastRun {
 		c.abortGang(s, "gang member lost")
 	}
@@ -90,7 +94,7 @@
 func (c *Cell) expireLeases() {
 	for _, w := range slices.Clone(c.workerList) {
 		if c.leaseExpired(w) && !c.idleWithoutLease(w) {
-			c.loseAttempts(w, "lease expired")
+			c.loseAttempts(w, "lease expired", false)
 			w.synced = false
 			w.attemptsExpireAt = time.Time{}
 		}
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -25,26 +25,32 @@
 	} else {
 		placed = c.placeTasks(s)
 	}
-	if !placed {
+	if !placed && !s.hasSuspects() {
 		s.blockedVersion = c.capacityVersion
 	}
 	return placed
 }
 
 func (c *Cell) placeTasks(s *step) bool {
+	placed := true
 	for i := range s.tasks {
 		t := &s.tasks[i]
 		if t.done || t.attempt != nil {
 			continue
 		}
-		w := c.bestWorker(s)
-		if w == nil {
+		var w *worker
+		if s.suspect(i) {
+			if w = c.isolatedWorker(s); w == nil {
+				placed = false
+				continue
+			}
+		} else if w = c.bestWorker(s); w == nil {
 			return false
 		}
 		c.start(s, i, c.nextRun(s, i), w)
 		c.recordStart(s, 1)
 	}
-	return true
+	return placed
 }
 
 // recordStart records the start of tasks of a step for admission.
@@ -61,10 +67,8 @@
 func (c *Cell) bestWorker(s *step) *worker {
 	var best *worker
 	var bestScore float64
-	demand := s.spec.Allocation()
 	for _, w := range c.candidateWorkers(s) {
-		if !demand.FitsIn(w.free) || !c.feasible(w, s) || c.remainingSpread(s, w) < 1 ||
-			c.blockedByReservation(w, s) {
+		if !c.canPlace(w, s) {
 			continue
 		}
 		score := c.score(w, s)
@@ -76,6 +80,12 @@
 	return best
 }
 
+// canPlace reports whether a single task of a step may be started on a worker now.
+func (c *Cell) canPlace(w *worker, s *step) bool {
+	return s.spec.Allocation().FitsIn(w.free) && c.feasible(w, s) && c.remainingSpread(s, w) >= 1 &&
+		!c.blockedByReservation(w, s)
+}
+
 // score rates a worker for a single task; lower is better.
 func (c *Cell) score(w *worker, s *step) float64 {
 	if s.rank.urgent {
@@ -97,7 +107,7 @@
 // feasible reports whether a step's tasks may be started on a worker now, apart
 // from capacity.
 func (c *Cell) feasible(w *worker, s *step) bool {
-	if !w.usable || !c.matchesConstraints(w, s) {
+	if !w.usable || c.now.Before(w.probationUntil) || !c.matchesConstraints(w, s) {
 		return false
 	}
 	return s.job.queue.config.Advice == nil || s.advice.ticket(w, c.now) != ""
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -123,6 +123,7 @@
 	if r.Incarnation > w.incarnation {
 		c.replaceIncarnation(w, r.Incarnation, "report of a later incarnation")
 	}
+	w.recordAlive(now)
 	w.recordClock(r.Clock, now)
 	if !w.synced {
 		c.markSynced(w)
@@ -147,12 +148,15 @@
 
 func (c *Cell) handlePollFailure(w *worker, epoch uint64, status tanagerport.Status, err error) {
 	w.missedPolls++
+	if err != nil {
+		w.recordSilent(c.now)
+	}
 	w.nextPollAt = c.now.Add(pollRetryDelay * time.Duration(min(w.missedPolls, 4)))
 	switch {
 	case status == tanagerport.Fenced:
 		c.handleFenced(epoch)
 	case status == tanagerport.OtherIncarnation:
-		c.loseAttempts(w, "another incarnation responded at its address")
+		c.loseAttempts(w, "another incarnation responded at its address", true)
 		w.synced = false
 	case w.missedPolls == 1:
 		c.logEvent(LogEvent{
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -45,6 +45,7 @@
 func (s *step) restore(sp *tanagerwork.StepProgress) {
 	if s.spec.Gang {
 		s.gang.failures = sp.Failures[0]
+		s.gang.crashes = sp.Crashes[0]
 		s.gang.checkpoint = sp.Checkpoints[0]
 		return
 	}
@@ -53,6 +54,11 @@
 			s.tasks[i].failures = failures
 		}
 	}
+	for i, crashes := range sp.Crashes {
+		if s.hasTask(i) {
+			s.tasks[i].crashes = crashes
+		}
+	}
 	for i, checkpoint := range sp.Checkpoints {
 		if s.hasTask(i) {
 			s.tasks[i].checkpoint = checkpoint
@@ -144,6 +150,7 @@
 		Step:        s.name.Step,
 		AllDone:     s.unfinishedTasks == 0,
 		Failures:    make(map[int]tanagerwork.FailedRuns),
+		Crashes:     make(map[int]tanagerwork.FailedRuns),
 		Checkpoints: make(map[int]string),
 	}
 	if sp.AllDone {
@@ -152,6 +159,9 @@
 	if len(s.gang.failures) > 0 {
 		sp.Failures[0] = s.gang.failures
 	}
+	if len(s.gang.crashes) > 0 {
+		sp.Crashes[0] = s.gang.crashes
+	}
 	if s.gang.checkpoint != "" {
 		sp.Checkpoints[0] = s.gang.checkpoint
 	}
@@ -164,11 +174,14 @@
 		if len(t.failures) > 0 {
 			sp.Failures[i] = t.failures
 		}
+		if len(t.crashes) > 0 {
+			sp.Crashes[i] = t.crashes
+		}
 		if t.checkpoint != "" {
 			sp.Checkpoints[i] = t.checkpoint
 		}
 	}
-	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Checkpoints) > 0
+	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Crashes)+len(sp.Checkpoints) > 0
 }
 
 // ExpiredJobs returns the ids, sorted and at most limit, of ended jobs whose
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -25,6 +25,7 @@
 		}
 		reported[a] = true
 		c.refreshAttempt(a, active)
+		c.recordSurvival(a, sentAt)
 	}
 	w.setOrphanUsage(orphans)
 	if !r.Complete {
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -13,12 +13,13 @@
 // its capacity there.
 func (c *Cell) newAttempt(s *step, index int, run int64, w *worker) *attempt {
 	a := &attempt{
-		step:       s,
-		index:      index,
-		run:        run,
-		worker:     w,
-		phaseSince: c.now,
-		cpuPercent: fullPercent,
+		step:        s,
+		index:       index,
+		run:         run,
+		worker:      w,
+		incarnation: w.incarnation,
+		phaseSince:  c.now,
+		cpuPercent:  fullPercent,
 	}
 	t := &s.tasks[index]
 	t.attempt = a
@@ -51,6 +52,11 @@
 // start starts a task on a worker.
 func (c *Cell) start(s *step, index int, run int64, w *worker) {
 	a := c.newAttempt(s, index, run, w)
+	a.startSentAt = c.now
+	w.lastStartAt = c.now
+	if s.suspect(index) {
+		c.beginProbation(w)
+	}
 	c.counters.Starts++
 	c.logEvent(LogEvent{
 		Name:   "run_start",
@@ -96,12 +102,15 @@
 	}
 	switch {
 	case err == nil && response.Status == tanagerport.Accepted:
+		w.recordAlive(now)
 		c.startAccepted(a)
 	case err == nil:
 		c.startRefused(a, order.Start.Epoch, response.Status)
 	case errorx.IsOfType(err, tanagerport.Refused):
+		w.recordSilent(now)
 		c.startUnsent(a, err)
 	default:
+		w.recordSilent(now)
 		c.startOutcomeUnknown(a)
 	}
 }
@@ -141,7 +150,7 @@
 	case tanagerport.Unhealthy:
 		a.worker.health.avoidUntil = c.now.Add(unhealthyBackoff)
 	case tanagerport.OtherIncarnation:
-		c.loseAttempts(a.worker, "another incarnation responded at its address")
+		c.loseAttempts(a.worker, "another incarnation responded at its address", true)
 		a.worker.synced = false
 		return
 	}
@@ -165,13 +174,14 @@
 }
 
 // startOutcomeUnknown sends the start again, which is idempotent as it names the
-// same run. After maxStartSends it stops the run.
+// same run. After maxStartSends it stops the run, as it does if the worker has
+// restarted, perhaps because of the start.
 func (c *Cell) startOutcomeUnknown(a *attempt) {
 	if a.phase != starting {
 		return
 	}
 	c.logAttempt("start_unanswered", a, "")
-	if a.startsSent < maxStartSends {
+	if a.startsSent < maxStartSends && a.incarnation == a.worker.incarnation {
 		c.sendStart(a)
 		return
 	}
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -35,6 +35,11 @@
 	attemptsExpireAt time.Time
 	lastResponse     time.Time
 
+	// lastAlive is when the worker last responded to any call, and silentSince when
+	// a call after that first got no response. lastStartAt is when a start was last
+	// sent. Until probationUntil a suspect may crash the worker.
+	lastAlive, silentSince, lastStartAt, probationUntil time.Time
+
 	pollInFlight bool
 	pollSentAt   time.Time
 	nextPollAt   time.Time
--- a/tanager/tanagerwork/record.go
+++ b/tanager/tanagerwork/record.go
@@ -45,6 +45,9 @@
 	// Failures are the failed runs by task index; those of a gang are stored
 	// under 0.
 	Failures map[int]FailedRuns `json:"failures,omitempty"`
+	// Crashes are the last runs under which the worker crashed shortly after their
+	// start, by task index; those of a gang are stored under 0.
+	Crashes map[int]FailedRuns `json:"crashes,omitempty"`
 	// Checkpoints are the latest checkpoints by task index; that of a gang is
 	// stored under 0.
 	Checkpoints map[int]string `json:"saved,omitempty"`
