Submit jobs that crash workers in the fault soak, off by default

The observer records a violation when the task is started three times more after three workers have crashed under it. Such a job need not end, and may be shown as failed once two workers have crashed under its task; for all other jobs failed stays a violation.

Without the flag the jobs of a seed are those that it had.

--- a/soak/tanagersoak/caller.go
+++ b/soak/tanagersoak/caller.go
@@ -20,6 +20,8 @@
 	site    *tanagersite.Site
 	daemons []*daemon
 	client  *http.Client
+	// crashingJobShare is the probability, 0 to 1, that a job crashes workers.
+	crashingJobShare float64
 
 	mu           sync.Mutex
 	acceptedJobs []string
@@ -55,6 +57,9 @@
 		}
 		steps = append(steps, step)
 	}
+	if c.crashingJobShare > 0 {
+		spec.Crashing = r.Float64() < c.crashingJobShare
+	}
 	body["steps"] = steps
 	content := tanagerwire.Encode(body)
 	c.site.JobSubmitted(id, spec)
@@ -139,7 +144,7 @@
 	switch {
 	case status == http.StatusGone:
 		c.addViolation("job %s was accepted, but is not known", id)
-	case state == "failed":
+	case state == "failed" && !c.site.JobMayFail(id):
 		c.addViolation("job %s failed, although workers never fail a task that often", id)
 	case state == "cancelled" && !cancelled:
 		c.addViolation("job %s is cancelled, but no caller cancelled it", id)
@@ -195,7 +200,8 @@
 }
 
 // unfinished queries all accepted jobs, each at a random daemon, and returns the
-// ids and states of those that have not ended.
+// ids and states of those that have not ended. Jobs that crash workers need not
+// end.
 func (c *callerPool) unfinished(r *rand.Rand) []string {
 	c.mu.Lock()
 	accepted := append([]string(nil), c.acceptedJobs...)
@@ -207,7 +213,7 @@
 		c.mu.Lock()
 		cancelled := c.cancelled[id]
 		c.mu.Unlock()
-		if state != "completed" && !(state == "cancelled" && cancelled) {
+		if state != "completed" && !(state == "cancelled" && cancelled) && !c.site.JobCrashesWorkers(id) {
 			unfinished = append(unfinished, strings.TrimSpace(id+" "+state))
 		}
 	}
--- a/soak/tanagersoak/soak.go
+++ b/soak/tanagersoak/soak.go
@@ -28,6 +28,8 @@
 	// CapacityChanges makes workers shrink and grow again. The other faults of a
 	// seed are the same with and without it.
 	CapacityChanges bool
+	// CrashingJobs adds jobs with a task that crashes each worker that starts it.
+	CrashingJobs bool
 }
 
 // Report is the result of a run.
@@ -72,6 +74,8 @@
 	workerMilliCPU   = 8000
 	meanTaskDuration = 300 * time.Millisecond
 	startTimeout     = 20 * time.Second
+	// crashingJobShare is the share of the jobs with a task that crashes workers.
+	crashingJobShare = 0.01
 	// A worker shrinks for minShrunkTime to maxShrunkTime. Starts may use the former
 	// capacity for the first seconds, so that shorter times would test nothing.
 	minShrunkTime = 2 * time.Second
@@ -110,6 +114,9 @@
 		return Report{}, err
 	}
 	callers := newCallerPool(c.site, c.daemons)
+	if s.CrashingJobs {
+		callers.crashingJobShare = crashingJobShare
+	}
 	stop := make(chan struct{})
 	var callersDone sync.WaitGroup
 	callersDone.Add(1)
--- a/tanagerfake/tanagersite/doc.go
+++ b/tanagerfake/tanagersite/doc.go
@@ -6,8 +6,8 @@
 // module platform; no other package knows the protocol. It can inject faults: the
 // store may be unavailable, slow or lose responses for some daemons, and workers
 // may execute commands late without a response, stop responding, restart as a new
-// incarnation, or change their capacity. An observer records violations of the scheduler's invariants;
-// see Violations.
+// incarnation, crash under some tasks, or change their capacity. An observer
+// records violations of the scheduler's invariants; see Violations.
 //
 // # Usage
 //
--- a/tanagerfake/tanagersite/observer.go
+++ b/tanagerfake/tanagersite/observer.go
@@ -18,8 +18,20 @@
 	MilliCPU int64
 	// Gang tells that the tasks of a step run as a gang: if one is done, all are.
 	Gang bool
+	// Crashing tells that the first task of the first step crashes each worker that
+	// starts it.
+	Crashing bool
 }
 
+const (
+	// A task may be given up once minCrashesToFail workers have crashed under it.
+	minCrashesToFail = 2
+	// A task under which maxCrashes workers have crashed must not be started
+	// maxFurtherStarts times more.
+	maxCrashes       = 3
+	maxFurtherStarts = 3
+)
+
 // observer records violations of the scheduler's invariants.
 type observer struct {
 	mu sync.Mutex
@@ -36,8 +48,11 @@
 	done    map[string]bool
 	// acknowledged holds the done tasks whose end the scheduler has acknowledged.
 	acknowledged map[string]bool
-	violations   []string
-	startCount   int
+	// crashes counts the workers that have crashed under a task, furtherStarts its
+	// starts after maxCrashes of them.
+	crashes, furtherStarts map[string]int
+	violations             []string
+	startCount             int
 }
 
 // capacity is a worker's capacity in thousandths of a core, since a time.
@@ -61,6 +76,9 @@
 		running:      make(map[string]string),
 		done:         make(map[string]bool),
 		acknowledged: make(map[string]bool),
+
+		crashes:       make(map[string]int),
+		furtherStarts: make(map[string]int),
 	}
 }
 
@@ -124,9 +142,23 @@
 		o.addViolation("task %s overcommits worker %s: %d of %d millicores", command.Task, worker, load, usable)
 	}
 	o.checkStepOrder(command.Task, job, step)
+	o.checkCrashes(command.Task)
 	o.running[command.Task] = worker
 }
 
+// checkCrashes checks that a task is not started on and on although it crashes its
+// workers. The caller holds the lock.
+func (o *observer) checkCrashes(task string) {
+	if o.crashes[task] < maxCrashes {
+		return
+	}
+	o.furtherStarts[task]++
+	if o.furtherStarts[task] == maxFurtherStarts {
+		o.addViolation("task %s started %d times after %d workers had crashed under it",
+			task, maxFurtherStarts, maxCrashes)
+	}
+}
+
 // checkStepOrder checks that all tasks of the preceding step are done.
 func (o *observer) checkStepOrder(task, job, step string) {
 	index := o.stepIndex(job, step)
@@ -157,6 +189,31 @@
 	}
 }
 
+// crashingTask returns the name of the task of a crashing job that crashes its
+// workers.
+func crashingTask(job string) string { return job + ".0.0.0" }
+
+// isCrashing reports whether a task crashes its worker.
+func (o *observer) isCrashing(task string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	job, _ := splitTaskName(task)
+	return o.jobs[job].Crashing && task == crashingTask(job)
+}
+
+// workerNotReturned records that the fake itself failed.
+func (o *observer) workerNotReturned(worker string, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.addViolation("worker %s did not return from a crash: %v", worker, err)
+}
+
+func (o *observer) workerCrashed(task string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.crashes[task]++
+}
+
 // stepIndex returns the index of a step from its name. It records a violation and
 // returns 0 if the job has no such step.
 func (o *observer) stepIndex(job, step string) int {
--- a/tanagerfake/tanagersite/site.go
+++ b/tanagerfake/tanagersite/site.go
@@ -119,7 +119,7 @@
 		_ = server.Close()
 	}
 	for _, w := range s.workers {
-		_ = w.server.Close()
+		w.close()
 	}
 }
 
@@ -161,6 +161,12 @@
 	s.store.put(key, value, 0)
 }
 
+func (s *Site) deleteKey(key string) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.deleteKey(key)
+}
+
 // CompactStore makes the store drop its history.
 func (s *Site) CompactStore() { s.store.compact() }
 
@@ -204,6 +210,22 @@
 	return true
 }
 
+// JobMayFail reports whether a job may be shown as failed: one of its tasks has
+// crashed its workers so often that it may be given up.
+func (s *Site) JobMayFail(id string) bool {
+	s.observer.mu.Lock()
+	defer s.observer.mu.Unlock()
+	return s.observer.jobs[id].Crashing && s.observer.crashes[crashingTask(id)] >= minCrashesToFail
+}
+
+// JobCrashesWorkers reports whether a job has a task that crashes its workers. Such
+// a job need not end.
+func (s *Site) JobCrashesWorkers(id string) bool {
+	s.observer.mu.Lock()
+	defer s.observer.mu.Unlock()
+	return s.observer.jobs[id].Crashing
+}
+
 // RunsStarted returns the number of runs that were started.
 func (s *Site) RunsStarted() int {
 	s.observer.mu.Lock()
