Give no task up before a third crash in a row

Where many workers crash for reasons of their own, two crashes right after two starts come together by chance.

A task is now given up after a third crash in a row that can be attributed to no other job, or a fourth in any case. The further crash costs the runs of a worker that was chosen for having the fewest. TestWorkerCrashesFailNoJob passes in all plays; tasks crash at most five workers in TestDeadlyTasksAreGivenUp, which replays a change of scheduler between them. TestCrashesAreRestored counts up to the same constant.

--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -26,8 +26,8 @@
 	// maxCrashes is the number of crashes in a row that are attributed to a task
 	// after which the task is given up. maxSoleCrashes is the number that suffices
 	// if the last one can be attributed to no other job.
-	maxCrashes     = 3
-	maxSoleCrashes = 2
+	maxCrashes     = 4
+	maxSoleCrashes = 3
 	// maxCrashWriteWait bounds how long a suspect waits until its crashes are
 	// stored, so that a successor continues to count.
 	maxCrashWriteWait = 80 * time.Millisecond
