Count one crash more where workers crash without a cause among their runs

The third crash is needed only where it guards against chance: for 10 s after a worker restarted although no run had been started shortly before, so that workers crash for reasons of their own.

TestUnprovokedCrashesRaiseLimit is new; TestWorkerCrashesFailNoJob and TestDeadlyTasksAreGivenUp pass.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -32,6 +32,9 @@
 	// probations are the workers on which a suspect has been started within
 	// crashWindow.
 	probations []*worker
+	// unprovokedCrashAt is when a worker last restarted without a run that may have
+	// crashed it.
+	unprovokedCrashAt time.Time
 	// usableWorkers may be given new work as of the last tick. They are sorted by
 	// id.
 	usableWorkers []*worker
--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -26,8 +26,12 @@
 	// maxCrashes is the number of crashes in a row that are attributed to a task
 	// after which the task is given up. maxSoleCrashes is the number that suffices
 	// if the last one can be attributed to no other job.
-	maxCrashes     = 4
-	maxSoleCrashes = 3
+	maxCrashes     = 3
+	maxSoleCrashes = 2
+	// unprovokedCrashMemory is how long after a crash that no start can have caused
+	// workers are expected to crash for reasons of their own. One more crash is
+	// needed then to give a task up.
+	unprovokedCrashMemory = 10 * time.Second
 	// maxCrashWriteWait bounds how long a suspect waits until its crashes are
 	// stored, so that a successor continues to count.
 	maxCrashWriteWait = 80 * time.Millisecond
@@ -74,6 +78,9 @@
 			suspects = append(suspects, a)
 		}
 	}
+	if len(suspects) > 0 {
+		w.blamedIncarnation = w.incarnation
+	}
 	for _, a := range suspects {
 		otherJob := slices.ContainsFunc(suspects, func(o *attempt) bool { return o.step.job != a.step.job })
 		a.suspicion = suspectedWithOthers
@@ -83,6 +90,14 @@
 	}
 }
 
+// recordUnprovokedCrash notes the time at which a worker has restarted, if no run
+// can have caused that and the worker was not about to leave.
+func (c *Cell) recordUnprovokedCrash(w *worker) {
+	if w.blamedIncarnation != w.incarnation && !w.entry.Draining && w.cordonedAt.IsZero() {
+		c.unprovokedCrashAt = c.now
+	}
+}
+
 // mayHaveCrashed reports whether an attempt may have started within crashWindow
 // before its worker crashed, which was between the last response and the first
 // call without one.
@@ -131,7 +146,7 @@
 	s.crashedAt = c.now
 	s.crashedWorker = a.worker.ref()
 	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, suspected alone: %t", len(*crashes), alone))
-	if s.crashLimitReached(len(*crashes), alone) {
+	if c.crashLimitReached(s, len(*crashes), alone) {
 		c.logAttempt("task_given_up", a, fmt.Sprintf("%d workers have crashed under it", len(*crashes)))
 		c.finishJob(s.job, tanagerwork.Failed, "a task crashes its workers")
 	}
@@ -148,7 +163,10 @@
 // crashLimitReached reports whether a task is given up. A long-running task, which
 // must otherwise be restarted however it ends, needs all crashes and a certain
 // one.
-func (s *step) crashLimitReached(count int, alone bool) bool {
+func (c *Cell) crashLimitReached(s *step, count int, alone bool) bool {
+	if !c.unprovokedCrashAt.IsZero() && c.now.Sub(c.unprovokedCrashAt) < unprovokedCrashMemory {
+		count--
+	}
 	if s.spec.LongRunning {
 		return count >= maxCrashes && alone
 	}
--- a/tanager/tanagerdispatch/crash_test.go
+++ b/tanager/tanagerdispatch/crash_test.go
@@ -554,3 +554,47 @@
 	h.c.Check(out.Starts, qt.HasLen, 0)
 	h.c.Check(out.Stops, qt.HasLen, 1)
 }
+
+// restartWorker lets a worker respond as a later incarnation that runs nothing.
+func (h *harness) restartWorker(id string) {
+	w := h.cell.workers[id]
+	h.cell.HandlePollResponse(h.now, PollOrder{Worker: w.ref()}, h.now, tanagerport.Report{
+		Response: tanagerport.Response{
+			Status: tanagerport.Accepted,
+			Clock:  h.clock,
+		},
+		Incarnation: w.incarnation + 1,
+		Complete:    true,
+	}, nil)
+}
+
+// Where workers crash for reasons of their own, jobs were failed whose tasks had
+// only been started before two such crashes.
+func TestUnprovokedCrashesRaiseLimit(t *testing.T) {
+	for name, tc := range map[string]struct {
+		started, draining, unprovoked bool
+	}{
+		"idle worker":    {unprovoked: true},
+		"after a start":  {started: true},
+		"planned leave":  {draining: true},
+		"drained worker": {started: true, draining: true},
+	} {
+		h := newHarness(t, 1)
+		h.setWorkers(testWorker("a", 1))
+		h.sync()
+		if tc.started {
+			h.accept(h.submit(testRecord("01", testStep(1, 1000)))[0])
+		}
+		entry := testWorker("a", 1)
+		entry.Draining = tc.draining
+		h.setWorkers(entry)
+		h.restartWorker("a")
+		s := &step{spec: &tanagerwork.Step{}}
+		h.c.Check(h.cell.crashLimitReached(s, maxSoleCrashes, true), qt.Equals, !tc.unprovoked, qt.Commentf("%s", name))
+		h.c.Check(h.cell.crashLimitReached(s, maxSoleCrashes+1, true), qt.IsTrue, qt.Commentf("%s", name))
+		h.c.Check(h.cell.crashLimitReached(s, maxCrashes, false), qt.Equals, !tc.unprovoked, qt.Commentf("%s", name))
+		h.c.Check(h.cell.crashLimitReached(s, maxCrashes+1, false), qt.IsTrue, qt.Commentf("%s", name))
+		h.tick(unprovokedCrashMemory)
+		h.c.Check(h.cell.crashLimitReached(s, maxSoleCrashes, true), qt.IsTrue, qt.Commentf("%s", name))
+	}
+}
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -38,6 +38,7 @@
 // one, so the attempts are kept until its first report.
 func (c *Cell) replaceIncarnation(w *worker, incarnation int64, reason string) {
 	c.suspectAttempts(w, true)
+	c.recordUnprovokedCrash(w)
 	c.logEvent(LogEvent{
 		Name:   "worker_reborn",
 		Worker: w.id,
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -40,6 +40,9 @@
 	// sent. Until probationUntil a suspect may crash the worker.
 	lastAlive, silentSince, lastStartAt, probationUntil time.Time
 
+	// blamedIncarnation is the last incarnation whose end runs are suspected of.
+	blamedIncarnation int64
+
 	pollInFlight bool
 	pollSentAt   time.Time
 	nextPollAt   time.Time
