Show that one caller's deadline cancels the write of others (known red)

With a store that takes 300 ms and callers that wait 250 to 670 ms, none of the 15 jobs of a batch is accepted, though the store commits each transaction that it is given time for.

--- a/tanagerd/tanagercell/commit_test.go
+++ b/tanagerd/tanagercell/commit_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -245,3 +247,60 @@
 		}
 	}
 }
+
+// slowStore commits after a delay, unless the call's context ends before.
+type slowStore struct {
+	unresponsiveStore
+	delay time.Duration
+}
+
+func (s slowStore) Commit(ctx context.Context, _ tanagerport.Transaction) (int64, []tanagerport.Item, error) {
+	select {
+	case <-time.After(s.delay):
+		return 1, nil, nil
+	case <-ctx.Done():
+		return 0, nil, tanagerport.OutcomeUnknown.New("commit")
+	}
+}
+
+// newSlowCommitter returns a committer on a store that takes delay for each
+// transaction.
+func newSlowCommitter(t *testing.T, delay time.Duration) *committer {
+	c := newCommitter(slowStore{delay: delay})
+	c.currentEpoch = func() (uint64, int64) { return 1, 1 }
+	c.onStored = func(tanagerwork.Record) {}
+	c.onCommitError = func(jobs int, err error) { t.Logf("%d jobs: %v", jobs, err) }
+	return c
+}
+
+// Guards against a transaction that is cancelled for a whole batch when the first
+// of its callers gives up.
+func TestExpiringSubmissionCancelsNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			storeDelay = 300 * time.Millisecond
+			// The first two callers wait for less than storeDelay.
+			firstTimeout   = 250 * time.Millisecond
+			timeoutSpacing = 30 * time.Millisecond
+		)
+		c := newSlowCommitter(t, storeDelay)
+		var batch []*submission
+		for i := range maxKeysPerTransaction {
+			ctx, cancel := context.WithTimeout(context.Background(), firstTimeout+time.Duration(i)*timeoutSpacing)
+			defer cancel()
+			batch = append(batch, &submission{
+				record: commitRecord(fmt.Sprintf("%016x", i)),
+				ctx:    ctx,
+				done:   make(chan submitOutcome, 1),
+			})
+		}
+		c.commit(batch)
+		accepted := 0
+		for _, s := range batch {
+			if <-s.done == outcomeAccepted {
+				accepted++
+			}
+		}
+		qt.Assert(t, accepted >= maxKeysPerTransaction-2, qt.IsTrue, qt.Commentf("%d accepted", accepted))
+	})
+}
