Keep a batch's transaction open as long as any of its callers waits

With a slow store, callers saw jobs of unknown outcome that the store would have committed in their time.

Cause: accepted jobs share transactions, and the transaction of a batch ran under the context of its oldest submission. When that caller gave up, the call was cancelled for all; each retry ended the same way with the next. Ruled out: the store, which commits whatever it is given time for.

The transaction now ends when the contexts of all its submissions have ended, at the latest after commitTimeout. Each caller is still told "outcome unknown" when its own context ends. Preconditions and the read of existing jobs are as before: a caller that was told so is never told afterwards that its job was not stored, and one that expired is not written again by a retry.

Without the fix, the count of callers, its end or the bound a test fails.

--- a/tanagerd/tanagercell/commit.go
+++ b/tanagerd/tanagercell/commit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -126,7 +127,9 @@
 			return
 		}
 		epoch, revision := c.currentEpoch()
-		_, items, err := c.store.Commit(batch[0].ctx, c.transaction(batch, epoch, revision))
+		ctx, cancel := sharedContext(batch)
+		_, items, err := c.store.Commit(ctx, c.transaction(batch, epoch, revision))
+		cancel()
 		switch {
 		case err == nil:
 			c.resolveStored(batch)
@@ -152,6 +155,28 @@
 	}
 }
 
+// sharedContext returns a context that ends when those of all submissions have
+// ended, at the latest after commitTimeout. Calling cancel releases it.
+func sharedContext(batch []*submission) (ctx context.Context, cancel context.CancelFunc) {
+	ctx, cancelCall := context.WithTimeout(context.Background(), commitTimeout)
+	var waiting atomic.Int64
+	waiting.Store(int64(len(batch)))
+	stops := make([]func() bool, 0, len(batch))
+	for _, s := range batch {
+		stops = append(stops, context.AfterFunc(s.ctx, func() {
+			if waiting.Add(-1) == 0 {
+				cancelCall()
+			}
+		}))
+	}
+	return ctx, func() {
+		for _, stop := range stops {
+			stop()
+		}
+		cancelCall()
+	}
+}
+
 // dropExpired resolves submissions whose context has ended as unknown and
 // returns the others.
 func dropExpired(batch []*submission) []*submission {
--- a/tanagerd/tanagercell/commit_test.go
+++ b/tanagerd/tanagercell/commit_test.go
@@ -304,3 +304,64 @@
 		qt.Assert(t, accepted >= maxKeysPerTransaction-2, qt.IsTrue, qt.Commentf("%d accepted", accepted))
 	})
 }
+
+// A caller whose context ends while the shared transaction is open gets its reply
+// at that time, and the others get theirs when the store responds.
+func TestCallersOfBatchAreAnsweredInTheirOwnTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			storeDelay = 300 * time.Millisecond
+			shortWait  = 100 * time.Millisecond
+		)
+		c := newSlowCommitter(t, storeDelay)
+		start := time.Now()
+		submit := func(id string, timeout time.Duration, want submitOutcome, after time.Duration) {
+			ctx, cancel := context.WithTimeout(context.Background(), timeout)
+			defer cancel()
+			qt.Check(t, c.submit(ctx, commitRecord(id)), qt.Equals, want)
+			qt.Check(t, time.Since(start), qt.Equals, after)
+		}
+		var callers sync.WaitGroup
+		callers.Go(func() { submit("a", shortWait, outcomeUnknown, shortWait) })
+		callers.Go(func() { submit("b", storeSubmitTimeout, outcomeAccepted, storeDelay) })
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go c.run(ctx)
+		callers.Wait()
+	})
+}
+
+// A transaction that nobody waits for any more must not occupy one of the slots.
+func TestTransactionEndsWithItsLastCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newSlowCommitter(t, time.Hour)
+		start := time.Now()
+		var batch []*submission
+		for i := range 3 {
+			ctx, cancel := context.WithCancel(context.Background())
+			time.AfterFunc(time.Duration(i+1)*storeRetryDelay, cancel)
+			batch = append(batch, &submission{
+				record: commitRecord(fmt.Sprintf("%016x", i)),
+				ctx:    ctx,
+				done:   make(chan submitOutcome, 1),
+			})
+		}
+		c.commit(batch)
+		qt.Assert(t, time.Since(start), qt.Equals, 4*storeRetryDelay)
+		for _, s := range batch {
+			qt.Check(t, <-s.done, qt.Equals, outcomeUnknown)
+		}
+	})
+}
+
+// A caller without a deadline must not keep a transaction open for good.
+func TestTransactionIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := sharedContext([]*submission{{ctx: context.Background()}})
+		defer cancel()
+		start := time.Now()
+		<-ctx.Done()
+		qt.Assert(t, time.Since(start), qt.Equals, commitTimeout)
+	})
+}
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -104,6 +104,8 @@
 	// forwardTimeout.
 	storeSubmitTimeout = 700 * time.Millisecond
 	forwardTimeout     = 1200 * time.Millisecond
+	// commitTimeout bounds a transaction of accepted jobs. No caller waits longer.
+	commitTimeout = forwardTimeout
 	// maxForwardHintAge is the maximum age of the scheduler's hints for a
 	// request to be forwarded to it: three base heartbeat intervals.
 	maxForwardHintAge = 600 * time.Millisecond
