Show that unlisted workers take the first polls of others (known red)

The bound on first polls counts workers that are no longer listed and are not polled at all: 128 of them keep a listed worker from its first poll for 100 ticks of 20 ms, and until they are removed.

--- a/tanager/tanagerdispatch/poll_test.go
+++ b/tanager/tanagerdispatch/poll_test.go
@@ -63,6 +63,17 @@
 	h.c.Assert(h.tick(2*pollRetryDelay).Polls, qt.HasLen, 2*maxFirstPolls)
 }
 
+// Guards against workers that left the list before their first poll and take the
+// turns of others.
+func TestUnlistedWorkersTakeNoFirstPolls(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testFleet(maxFirstPolls)...)
+	h.setWorkers(testWorker("z", 1))
+	h.tick(time.Millisecond)
+	h.c.Assert(h.orders.Polls, qt.HasLen, 1)
+	h.c.Assert(h.orders.Polls[0].Worker.ID, qt.Equals, "z")
+}
+
 // The total rate of polls of idle workers is bounded, and the workers stay
 // usable.
 func TestIdlePollRateIsBounded(t *testing.T) {
