Count only polled workers against the bound on first polls

Callers would see workers that had just joined left without work for up to 10 s (unlistedRetention) after 128 others had left the list before their first poll, as when a service's workers are replaced while the scheduler catches up.

Cause: an unlisted worker with nothing to ask for is not polled, but it was counted against maxFirstPolls before that was checked. As it is never polled, it was counted in each tick. Ruled out: polls in flight, which end with their call.

The check comes first now; the bound on polls that are sent is unchanged. TestUnlistedWorkersTakeNoFirstPolls failed before: no poll instead of one.

--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -31,16 +31,16 @@
 		if w.pollInFlight || c.now.Before(w.nextPollAt) || c.awaitsProgressWrite(w) {
 			continue
 		}
+		_, inherited := c.predecessorLeases[w.id]
+		if !w.listed && len(w.attempts) == 0 && !inherited {
+			continue
+		}
 		if !w.synced && w.missedPolls == 0 {
 			if firstPolls >= maxFirstPolls {
 				continue
 			}
 			firstPolls++
 		}
-		_, inherited := c.predecessorLeases[w.id]
-		if !w.listed && len(w.attempts) == 0 && !inherited {
-			continue
-		}
 		w.pollInFlight = true
 		w.pollSentAt = c.now
 		c.counters.Polls++
