Hand unsent requests for advice back to the cell

Where the link to an adviser broke with a request in its queue, the step's callers waited 1.5 s and the expected time for a call that was never made, and the adviser served nobody else for as long.

Cause: messages that the transport returns unsent were all dropped. For heartbeats and hints that is right, as they are repeated; a request for advice is not.

Such a request now counts as a refused call, like one that could not be queued. As that frees the adviser at once, a process that has exited would attract each call until its heartbeats count as missing; it is removed from the daemons known when its connection is lost, and a heartbeat would add it again.

--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -58,8 +58,7 @@
 	}
 	for _, o := range orders.Advice {
 		if !c.send(o.Adviser, topicAdviceRequest, adviceRequest{Order: o}) {
-			c.cell.HandleAdviceResponse(c.timer.Now(), o, c.timer.Now(), tanagerport.Advice{},
-				tanagerport.Refused.New("adviser %s: message not queued", o.Adviser))
+			c.refuseAdvice(o, "message not queued")
 		}
 	}
 	c.sendMaintenanceOrders(orders.Maintenance)
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -5,21 +5,34 @@
 
 	"github.com/ThreeDotsLabs/watermill/message"
 
+	"tanagersail.example/tanager/tanagerdispatch"
 	"tanagersail.example/tanager/tanagerpeer"
 	"tanagersail.example/tanager/tanagerport"
 	"tanagersail.example/tanager/tanagerwire"
 )
 
-// receive applies a message from another daemon. A message that cannot be
-// decoded is logged and dropped: heartbeats and hints are repeated, and
+// receive applies a message from another daemon, or one to it that was returned
+// unsent. A message that cannot be decoded is logged and dropped, and so are
+// unsent ones except requests for advice: heartbeats and hints are repeated, and
 // accepted jobs and cancellations are in the store.
 func (c *control) receive(m *message.Message) {
 	from := m.Metadata.Get(tanagerpeer.FromKey)
-	if m.Metadata.Get(tanagerpeer.UnsentKey) != "" {
-		return
-	}
 	topic := m.Metadata.Get(tanagerpeer.TopicKey)
+	unsent := m.Metadata.Get(tanagerpeer.UnsentKey) != ""
 	var err error
+	switch {
+	case unsent && topic == topicAdviceRequest:
+		err = decodeAndApply(m, func(r adviceRequest) { c.refuseAdvice(r.Order, "message not sent") })
+	case !unsent:
+		err = c.receiveSent(from, topic, m)
+	}
+	if err != nil {
+		c.log.Error().Str("event", "message_decode_failed").Str("topic", topic).Str("from", from).Err(err).Send()
+	}
+}
+
+// receiveSent applies a message that another daemon sent.
+func (c *control) receiveSent(from, topic string, m *message.Message) (err error) {
 	switch topic {
 	case tanagerpeer.ConnectionLostTopic:
 		c.connectionLost(from, m.Metadata.Get(tanagerpeer.PeerExitedKey) != "")
@@ -51,19 +64,21 @@
 	case topicAdviceResponse:
 		err = decodeAndApply(m, func(r adviceResponse) { c.receiveAdvice(r) })
 	}
-	if err != nil {
-		c.log.Error().Str("event", "message_decode_failed").Str("topic", topic).Str("from", from).Err(err).Send()
-	}
+	return err
 }
 
 // maxJobAge bounds the age that a daemon reports for a job. No caller waits
 // longer for its job to be accepted.
 const maxJobAge = time.Minute
 
-// connectionLost handles a broken connection. If the scheduler's process has
-// exited, the daemon campaigns without waiting for the lease to expire.
+// connectionLost handles a broken connection. A daemon whose process has exited
+// is asked for no more advice. If it was the scheduler, this daemon campaigns
+// without waiting for the lease to expire.
 func (c *control) connectionLost(from string, exited bool) {
 	c.log.Debug().Str("event", "link_lost").Str("member", from).Bool("gone", exited).Send()
+	if exited {
+		delete(c.members, from)
+	}
 	if exited && from == c.leader.holder.Member && from != c.exitedScheduler {
 		c.exitedScheduler = from
 		c.campaignAt = time.Time{}
@@ -149,6 +164,17 @@
 	c.cell.HandleAdviceResponse(now, response.Order, now.Add(-response.Took), response.Advice, err)
 }
 
+// refuseAdvice hands a call for advice that was certainly not made back to the
+// cell.
+func (c *control) refuseAdvice(order tanagerdispatch.AdviceOrder, reason string) {
+	if c.cell == nil {
+		return
+	}
+	now := c.timer.Now()
+	c.cell.HandleAdviceResponse(now, order, now, tanagerport.Advice{},
+		tanagerport.Refused.New("adviser %s: %s", order.Adviser, reason))
+}
+
 // stateCall asks the scheduler for the state of a job.
 type stateCall struct {
 	request stateRequest
--- a/tanagerd/tanagercell/receive_test.go
+++ b/tanagerd/tanagercell/receive_test.go
@@ -85,3 +85,42 @@
 	c.cell.Tick(c.timer.Now().Add(retryTime))
 	qt.Assert(t, c.cell.TakeOrders().Advice, qt.HasLen, 1)
 }
+
+// A request to a process that has exited is returned at once. Its daemon must not
+// attract each call until its heartbeats count as missing.
+func TestExitedDaemonGetsNoMoreAdviceRequests(t *testing.T) {
+	const exited, other = "10.0.0.2:1/other", "10.0.0.3:1/other"
+	c := newTestControl(t)
+	c.becomeScheduler(1)
+	c.receiveHeartbeat(exited, heartbeat{})
+	c.receiveHeartbeat(other, heartbeat{})
+	for _, lost := range []struct{ member, exited string }{
+		{
+			member: exited,
+			exited: "true",
+		},
+		{member: other},
+	} {
+		m := message.NewMessage("", nil)
+		m.Metadata.Set(tanagerpeer.TopicKey, tanagerpeer.ConnectionLostTopic)
+		m.Metadata.Set(tanagerpeer.FromKey, lost.member)
+		m.Metadata.Set(tanagerpeer.PeerExitedKey, lost.exited)
+		c.receive(m)
+	}
+	qt.Assert(t, c.members, qt.HasLen, 1)
+	_, found := c.members[other]
+	qt.Assert(t, found, qt.IsTrue)
+}
+
+// An unsent message is this daemon's own and must not be taken for the peer's.
+func TestUnsentMessageIsNotApplied(t *testing.T) {
+	const other = "10.0.0.2:1/other"
+	c := newTestControl(t)
+	c.becomeScheduler(1)
+	m := message.NewMessage("", tanagerwire.Encode(heartbeat{}))
+	m.Metadata.Set(tanagerpeer.TopicKey, topicHeartbeat)
+	m.Metadata.Set(tanagerpeer.FromKey, other)
+	m.Metadata.Set(tanagerpeer.UnsentKey, "true")
+	c.receive(m)
+	qt.Assert(t, c.members, qt.HasLen, 0)
+}
