--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -104,6 +104,8 @@
 	// forwardTimeout.
 	storeSubmitTimeout = 700 * time.Millisecond
 	forwardTimeout     = 1200 * time.Millisecond
+	// commitTimeout bounds a transaction of accepted jobs. No caller waits longer.
+	commitTimeout = forwardTimeout
 	// maxSchedulerSilence is how long ago the scheduler may have been heard for a
 	// request to be forwarded to it: three base heartbeat intervals.
 	maxSchedulerSilence = 600 * time.Millisecond
