--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -29,9 +29,6 @@
 	// workerList holds the workers in the order of their ids, so that decisions
 	// do not depend on the order of a map.
 	workerList []*worker
-	// probations are the workers on which a suspect has been started within
-	// crashWindow.
-	probations []*worker
 	// usableWorkers may be given new work as of the last tick. They are sorted by
 	// id.
 	usableWorkers []*worker
@@ -287,7 +284,6 @@
 	c.expireLeases()
 	c.expirePredecessorLeases()
 	c.createDueOccurrences()
-	c.endProbations()
 	c.stopOnDrainingWorkers()
 	c.advanceWaves()
 	if c.now.Sub(c.attemptsScannedAt) >= attemptScanInterval {
--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -31,6 +31,9 @@
 	// maxCrashWriteWait bounds how long a suspect waits until its crashes are
 	// stored, so that a successor continues to count.
 	maxCrashWriteWait = 80 * time.Millisecond
+	// maxIsolationWait bounds how long a suspect waits for a worker on which nothing
+	// has been started within crashWindow. Under overload there may be none.
+	maxIsolationWait = 2 * time.Second
 )
 
 // suspicion tells whether a run may have crashed its worker.
@@ -105,15 +108,6 @@
 // suspect reports whether a task, or its gang, may crash the worker that starts it.
 func (s *step) suspect(index int) bool { return len(*s.crashes(index)) > 0 }
 
-func (s *step) hasSuspects() bool {
-	for i := range s.tasks {
-		if !s.tasks[i].done && s.suspect(i) {
-			return true
-		}
-	}
-	return false
-}
-
 // recordCrash counts the crash of a worker under an attempt that has been
 // removed, and gives its task up after too many.
 func (c *Cell) recordCrash(a *attempt) {
@@ -188,11 +182,17 @@
 
 // isolatedWorker returns the worker for a suspect, among those where no run has
 // been started within crashWindow: preferably not the one that crashed last, and
-// the one with the fewest runs. It returns nil if there is none.
+// the one with the fewest runs. It returns nil if there is none. After
+// maxIsolationWait it accepts any worker.
 func (c *Cell) isolatedWorker(s *step) *worker {
+	waitsSince := s.readyAt
+	if s.crashedAt.After(waitsSince) {
+		waitsSince = s.crashedAt
+	}
+	mustBeQuiet := c.now.Sub(waitsSince) < maxIsolationWait
 	var best *worker
 	for _, w := range c.candidateWorkers(s) {
-		if c.now.Sub(w.lastStartAt) <= crashWindow || !c.canPlace(w, s) {
+		if mustBeQuiet && c.now.Sub(w.lastStartAt) <= crashWindow || !c.canPlace(w, s) {
 			continue
 		}
 		if best == nil || s.compareIsolation(w, best) < 0 {
@@ -208,19 +208,3 @@
 		cmp.Compare(len(a.attempts), len(b.attempts)),
 	)
 }
-
-// beginProbation keeps other tasks off a worker while a suspect may crash it.
-func (c *Cell) beginProbation(w *worker) {
-	w.probationUntil = c.now.Add(crashWindow)
-	c.probations = append(c.probations, w)
-}
-
-// endProbations gives workers that have outlived the start of a suspect new work
-// again.
-func (c *Cell) endProbations() {
-	count := len(c.probations)
-	c.probations = slices.DeleteFunc(c.probations, func(w *worker) bool { return !c.now.Before(w.probationUntil) })
-	if len(c.probations) < count {
-		c.capacityVersion++
-	}
-}
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -123,7 +123,7 @@
 	incarnation int64
 	phase       phase
 	startsSent  int
-	// startSentAt is when the start was first sent; zero for an adopted run.
+	// startSentAt is when the start was first sent or the run was adopted.
 	startSentAt time.Time
 	// phaseSince is when the present phase began.
 	phaseSince time.Time
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -25,7 +25,7 @@
 	} else {
 		placed = c.placeTasks(s)
 	}
-	if !placed && !s.hasSuspects() {
+	if !placed {
 		s.blockedVersion = c.capacityVersion
 	}
 	return placed
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -18,6 +18,7 @@
 		run:         run,
 		worker:      w,
 		incarnation: w.incarnation,
+		startSentAt: c.now,
 		phaseSince:  c.now,
 		cpuPercent:  fullPercent,
 	}
@@ -52,10 +53,9 @@
 // start starts a task on a worker.
 func (c *Cell) start(s *step, index int, run int64, w *worker) {
 	a := c.newAttempt(s, index, run, w)
-	a.startSentAt = c.now
 	w.lastStartAt = c.now
 	if s.suspect(index) {
-		c.beginProbation(w)
+		w.probationUntil = c.now.Add(crashWindow)
 	}
 	c.counters.Starts++
 	c.logEvent(LogEvent{
