--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -29,9 +29,6 @@
 	// workerList holds the workers in the order of their ids, so that decisions
 	// do not depend on the order of a map.
 	workerList []*worker
-	// probations are the workers on which a suspect has been started within
-	// crashWindow.
-	probations []*worker
 	// unprovokedCrashAt is when a worker last restarted without a run that may have
 	// crashed it.
 	unprovokedCrashAt time.Time
@@ -312,7 +309,6 @@
 	c.expireLeases()
 	c.expirePredecessorLeases()
 	c.createDueOccurrences()
-	c.endProbations()
 	c.stopOnDrainingWorkers()
 	c.advanceWaves()
 	if c.now.Sub(c.attemptsScannedAt) >= attemptScanInterval {
