Tell crashes that are noticed late from those of a task

Cause: a third crash in a row gave a task up however late it was noticed, although the worker may have been dead before the start, or only cut off.

Change: suspicion has a third degree, suspectedLate (silence noticed later than 0.3 s after the start, or a lease that expired): such a crash ends a job only as the fourth in a row. The log names the degree.

--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -25,9 +25,11 @@
 	crashWindow = 300 * time.Millisecond
 	// maxCrashes is the number of crashes in a row that are attributed to a task
 	// after which the task is given up. maxSoleCrashes is the number that suffices
-	// if the last one can be attributed to no other job.
+	// if the last one can be attributed to no other job, and maxLateCrashes the
+	// number if it was noticed late.
 	maxCrashes     = 3
 	maxSoleCrashes = 2
+	maxLateCrashes = 4
 	// maxCrashWriteWait bounds how long a suspect waits until its crashes are
 	// stored, so that a successor continues to count.
 	maxCrashWriteWait = 80 * time.Millisecond
@@ -42,14 +44,30 @@
 const (
 	// unsuspected runs had outlived crashWindow.
 	unsuspected suspicion = iota
+	// suspectedLate runs may have been started shortly before the crash, but it was
+	// noticed late, or the worker may only have been cut off.
+	suspectedLate
 	// suspectedWithOthers runs were started shortly before the crash, as were runs
-	// of other jobs, or the time of the crash is not certain.
+	// of other jobs.
 	suspectedWithOthers
 	// suspectedAlone runs belong to the only job that was started shortly before
 	// the crash.
 	suspectedAlone
 )
 
+// String returns the form that is written to the log.
+func (s suspicion) String() string {
+	switch s {
+	case suspectedLate:
+		return "noticed late"
+	case suspectedWithOthers:
+		return "suspected with others"
+	case suspectedAlone:
+		return "suspected alone"
+	}
+	return "unsuspected"
+}
+
 // recordAlive records a response of a worker.
 func (w *worker) recordAlive(now time.Time) {
 	w.lastAlive = now
@@ -79,8 +97,12 @@
 	}
 	for _, a := range suspects {
 		otherJob := slices.ContainsFunc(suspects, func(o *attempt) bool { return o.step.job != a.step.job })
-		a.suspicion = suspectedWithOthers
-		if restarted && !otherJob && w.silentSince.Sub(a.startSentAt) <= crashWindow {
+		switch {
+		case !restarted || w.silentSince.Sub(a.startSentAt) > crashWindow:
+			a.suspicion = suspectedLate
+		case otherJob:
+			a.suspicion = suspectedWithOthers
+		default:
 			a.suspicion = suspectedAlone
 		}
 	}
@@ -119,13 +141,16 @@
 	if !crashes.Add(a.run) {
 		return
 	}
-	alone := a.suspicion == suspectedAlone && !s.crashedBefore(a.worker)
+	certainty := a.suspicion
+	if certainty == suspectedAlone && s.crashedBefore(a.worker) {
+		certainty = suspectedWithOthers
+	}
 	c.markDirty(s.job)
 	s.crashVersion = s.job.progressVersion
 	s.crashedAt = c.now
 	s.crashedWorker = a.worker.ref()
-	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, suspected alone: %t", len(*crashes), alone))
-	if s.crashLimitReached(len(*crashes), alone) {
+	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, %s", len(*crashes), certainty))
+	if s.crashLimitReached(len(*crashes), certainty) {
 		c.logAttempt("task_given_up", a, fmt.Sprintf("%d workers have crashed under it", len(*crashes)))
 		c.finishJob(s.job, tanagerwork.Failed, "a task crashes its workers")
 	}
@@ -139,14 +164,19 @@
 	return w.id == last.ID || w.entry.Address.IsValid() && w.entry.Address == last.Address
 }
 
-// crashLimitReached reports whether a task is given up. A long-running task, which
-// must otherwise be restarted however it ends, needs all crashes and a certain
-// one.
-func (s *step) crashLimitReached(count int, alone bool) bool {
-	if s.spec.LongRunning {
-		return count >= maxCrashes && alone
+// crashLimitReached reports whether a task is given up after a number of crashes
+// in a row. A long-running task, which must otherwise be restarted however it
+// ends, needs all crashes and a certain one.
+func (s *step) crashLimitReached(count int, last suspicion) bool {
+	switch {
+	case s.spec.LongRunning:
+		return count >= maxCrashes && last == suspectedAlone
+	case last == suspectedAlone:
+		return count >= maxSoleCrashes
+	case last == suspectedWithOthers:
+		return count >= maxCrashes
 	}
-	return count >= maxCrashes || count >= maxSoleCrashes && alone
+	return count >= maxLateCrashes
 }
 
 // recordSurvival clears a task of suspicion if a run of it, or all members of its
