--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -29,9 +29,6 @@
 	// workerList holds the workers in the order of their ids, so that decisions
 	// do not depend on the order of a map.
 	workerList []*worker
-	// unprovokedCrashAt is when a worker last restarted without a run that may have
-	// crashed it.
-	unprovokedCrashAt time.Time
 	// usableWorkers may be given new work as of the last tick. They are sorted by
 	// id.
 	usableWorkers []*worker
