--- a/tanager/tanagerdispatch/worker_test.go
+++ b/tanager/tanagerdispatch/worker_test.go
@@ -21,6 +21,8 @@
 	orders Orders
 	// openPolls are the polls without a response so far.
 	openPolls []PollOrder
+	// openCalls are the calls for advice without a response so far.
+	openCalls []adviceCall
 }
 
 const (
