Let gangs that wait for good hold up no other gang

A gang with idle workers and free advisers was not started for as long as at least four others waited for workers that were occupied, which with long-running tasks is for good.

Cause: a gang asked for advice only within reservationLimit, and gangs whose approved workers are occupied by tasks without an expected end counted towards the limit as availableLate. Such a gang is now availableNever, which does not count and asks about other workers. The first call for advice no longer depends on the limit, since a gang can start with its tickets and without a reservation.

TestGangsThatWaitForGoodHoldUpNoOtherGang: no start in 20 s before in any of its three cases, both members start now. Without the first call its case of an hour fails, without the new class the one whose other worker becomes idle later. A gang beyond the limit whose tickets expire unused, while the gangs before it wait a long but finite time, still has to wait for them.

--- a/tanager/tanagerdispatch/reserve.go
+++ b/tanager/tanagerdispatch/reserve.go
@@ -47,7 +47,8 @@
 type availability uint8
 
 const (
-	// availableNever: the workers known to be suitable are too few or too small.
+	// availableNever: the workers known to be suitable are too few, too small or
+	// occupied by runs without an expected end.
 	availableNever availability = iota
 	// availableLate: waiting takes longer than a call for advice about other
 	// workers.
@@ -75,7 +76,7 @@
 		}
 		c.dropReservation(s)
 	}
-	if !c.fitsWhenIdle(s, 1) {
+	if !c.fitsEventually(s, 1) {
 		return availableNever
 	}
 	times := c.releaseTimes(s)
@@ -117,7 +118,7 @@
 // classifyWait compares the time until capacity is free with that of a call for
 // advice.
 func (c *Cell) classifyWait(s *step, wait time.Duration) availability {
-	if p := s.job.queue.config.Advice; p != nil && wait > p.DecisionTime && !c.fitsWhenIdle(s, ampleCapacityFactor) {
+	if p := s.job.queue.config.Advice; p != nil && wait > p.DecisionTime && !c.fitsEventually(s, ampleCapacityFactor) {
 		return availableLate
 	}
 	return availableSoon
@@ -158,13 +159,13 @@
 	s.gang.reservation = nil
 }
 
-// fitsWhenIdle reports whether the gang's workers, when idle, have capacity for
-// the gang the given number of times.
-func (c *Cell) fitsWhenIdle(s *step, times int) bool {
+// fitsEventually reports whether the gang's workers have capacity for the gang the
+// given number of times once all runs with an expected end have ended.
+func (c *Cell) fitsEventually(s *step, times int) bool {
 	total := 0
 	for _, w := range c.candidateWorkers(s) {
 		if w.usable && c.matchesConstraints(w, s) {
-			total += s.spec.Allocation().FitCount(w.entry.Capacity, c.remainingSpread(s, w))
+			total += s.spec.Allocation().FitCount(w.freeAfter(indefinite-1), c.remainingSpread(s, w))
 		}
 	}
 	return total >= times*len(s.tasks)
--- a/tanager/tanagerdispatch/schedule.go
+++ b/tanager/tanagerdispatch/schedule.go
@@ -116,12 +116,8 @@
 		switch {
 		case !s.spec.Gang && c.needsAdvice(s):
 			adviceSteps = append(adviceSteps, s)
-		case s.spec.Gang && reserving && gangs < c.reservationLimit():
-			if c.reserveForGang(s, &gangs) {
-				adviceSteps = append(adviceSteps, s)
-			}
-		case s.spec.Gang && reserving && !c.awaitsReserved(s):
-			c.dropReservation(s)
+		case s.spec.Gang && reserving && c.reserveForGang(s, &gangs):
+			adviceSteps = append(adviceSteps, s)
 		}
 	}
 	c.requestAdvice(adviceSteps)
@@ -138,9 +134,17 @@
 	}
 }
 
-// reserveForGang reserves capacity for a gang. It increments gangs if the known
-// workers suffice for the gang, and reports whether to request advice for it.
+// reserveForGang reserves capacity for a gang, unless gangs has reached its limit.
+// It increments gangs if the gang can start on the known workers, and reports
+// whether to request advice for it. With its first advice a gang can start without
+// a reservation.
 func (c *Cell) reserveForGang(s *step, gangs *int) bool {
+	if *gangs >= c.reservationLimit() {
+		if !c.awaitsReserved(s) {
+			c.dropReservation(s)
+		}
+		return s.advice.queried == nil && c.canRequestAdvice(s)
+	}
 	s.gang.availability = c.reserve(s, *gangs < c.advanceReservationLimit())
 	if s.gang.availability != availableNever {
 		*gangs++
