--- a/tanager/tanagerdispatch/starvation_test.go
+++ b/tanager/tanagerdispatch/starvation_test.go
@@ -158,3 +158,39 @@
 		})
 	}
 }
+
+// Steps whose calls for advice failed were asked about again at once, and took all
+// advisers from a step behind them.
+func TestFailingAdviceCallsHoldUpNoOther(t *testing.T) {
+	for name, longRunning := range map[string]bool{
+		"long-running": true,
+		"expired":      false,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newBatchHarness(t, &tanagerport.AdvicePolicy{
+				DecisionTime: 300 * time.Millisecond,
+				TicketTTL:    time.Second,
+			})
+			h.setWorkers(testWorker("a", 1))
+			h.cell.SetAdvisers([]string{"d1", "d2"})
+			h.sync()
+			failing := testStep(1, 1000)
+			failing.LongRunning = longRunning
+			for i := range 4 {
+				r := testRecord(fmt.Sprintf("%02x", i), failing)
+				r.Arrived = h.now.Add(-2 * time.Hour)
+				h.cell.AddJob(h.now, r, nil)
+			}
+			last := testRecord("ff", testStep(1, 1000))
+			last.Arrived = h.now.Add(-time.Hour)
+			h.cell.AddJob(h.now, last, nil)
+			started := h.countStarts(20*time.Second, last.ID, func(o AdviceOrder) (tanagerport.Advice, error) {
+				if o.Step.Job != last.ID {
+					return tanagerport.Advice{}, tanagerport.OutcomeUnknown.New("no response")
+				}
+				return approveAll(o)
+			})
+			h.c.Assert(started, qt.Equals, 1)
+		})
+	}
+}
