Let failing calls for advice hold up no other step

A step with idle workers did not start while the calls for advice of steps before it kept failing.

Cause: the pause after a failed call was always 100 ms, so a few failing steps, each of whose calls takes 300 ms, occupied all advisers that take long calls, and got them first each time. The pause now doubles with each failure in a row, up to maxAdviceRetryDelay (2 s); an answer resets it. The pause after a first failure is as before. With more failing steps than advisers can be asked about in 2 s, those of a better tier still go first.

--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -24,6 +24,8 @@
 	callDeadline time.Time
 	// notBefore delays the next call after one that failed or approved nothing.
 	notBefore time.Time
+	// failedCalls counts the calls that failed since one was answered.
+	failedCalls int
 }
 
 // workerTicket permits starts on one incarnation of a worker.
@@ -39,8 +41,10 @@
 	// ticketTransitMargin is the part of a ticket's lifetime that is reserved for
 	// the transfer of the start to the worker.
 	ticketTransitMargin = 60 * time.Millisecond
-	// adviceRetryDelay is the pause after a failed call for advice.
-	adviceRetryDelay = 100 * time.Millisecond
+	// adviceRetryDelay is the pause after a failed call for advice. It doubles with
+	// each further failure, up to maxAdviceRetryDelay.
+	adviceRetryDelay    = 100 * time.Millisecond
+	maxAdviceRetryDelay = 2 * time.Second
 	// Calls that are expected to take longCallThreshold or longer may not use the
 	// advisers that are reserved for short calls, such as those of urgent queues.
 	longCallThreshold = 120 * time.Millisecond
@@ -274,6 +278,15 @@
 	return min(max(c.minAdviceWorkers(s), int(math.Ceil(adviceOversampling*needed))), tanagerport.MaxAdviceWorkers)
 }
 
+// retryDelay returns the pause after a call that failed.
+func (a *adviceState) retryDelay() time.Duration {
+	delay := adviceRetryDelay
+	for i := 0; i < a.failedCalls && delay < maxAdviceRetryDelay; i++ {
+		delay *= 2
+	}
+	return min(delay, maxAdviceRetryDelay)
+}
+
 // HandleAdviceResponse applies the result of a call for advice that was issued at
 // askedAt.
 func (c *Cell) HandleAdviceResponse(now time.Time, order AdviceOrder, askedAt time.Time,
@@ -292,10 +305,12 @@
 	}
 	s.advice.callDeadline = time.Time{}
 	if err != nil {
-		s.advice.notBefore = now.Add(adviceRetryDelay)
+		s.advice.notBefore = now.Add(s.advice.retryDelay())
+		s.advice.failedCalls++
 		c.logAdvice(s, errorKind(err), now.Sub(askedAt))
 		return
 	}
+	s.advice.failedCalls = 0
 	c.logAdvice(s, "answered", now.Sub(askedAt))
 	c.applyAdvice(s, order.Workers, advice)
 }
