--- a/tanager/tanagerdispatch/starvation_test.go
+++ b/tanager/tanagerdispatch/starvation_test.go
@@ -194,3 +194,32 @@
 		})
 	}
 }
+
+// Gangs that asked about each new worker took all advisers from a gang behind them.
+func TestQuestionsAboutNewWorkersHoldUpNoOther(t *testing.T) {
+	h := newBatchHarness(t, &tanagerport.AdvicePolicy{
+		DecisionTime: 300 * time.Millisecond,
+		TicketTTL:    time.Second,
+	})
+	entries := []tanagerport.WorkerEntry{testWorker("a00", 1)}
+	h.setWorkers(entries...)
+	h.cell.SetAdvisers([]string{"d1", "d2", "d3", "d4"})
+	h.sync()
+	add := func(id string, waited time.Duration, s tanagerwork.Step) tanagerwork.JobID {
+		r := testRecord(id, s)
+		r.Arrived = h.now.Add(-waited)
+		h.cell.AddJob(h.now, r, nil)
+		return r.ID
+	}
+	for i := range 12 {
+		add(fmt.Sprintf("%02x", i), 2*time.Hour, gangStep(1000, 4000))
+	}
+	last := add("ff", time.Hour, gangStep(2, 1000))
+	started := 0
+	for range 40 {
+		entries = append(entries, testWorker(fmt.Sprintf("a%02d", len(entries)), 1))
+		h.setWorkers(entries...)
+		started += h.countStarts(500*time.Millisecond, last, approveAll)
+	}
+	h.c.Assert(started, qt.Equals, 2)
+}
