Let questions about new workers hold up no other step

While workers kept joining, an expired gang with an idle worker got no adviser for as long as other expired gangs stood before it that wait for more workers.

Cause: advisers were given in order of rank. Gangs whose known workers do not suffice ask about each new one, a step's rank within the expired tier does not change for it, and so the same gangs took each free adviser. Expired steps now ask in the order of their last call, those that have never asked first. Steps of other tiers keep the order of rank, as they become expired in time.

TestQuestionsAboutNewWorkersHoldUpNoOther: no start in 20 s before, both members start now. Without the sort, or without the time of the call, it fails. TestFailingAdviceCallsHoldUpNoOther still guards the growing pause: without that, its case of long-running steps fails.

--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -22,6 +22,8 @@
 	// callDeadline is set while a call is in flight. After it the response counts
 	// as lost, and the step may call again.
 	callDeadline time.Time
+	// calledAt is when the last call was issued.
+	calledAt time.Time
 	// notBefore delays the next call after one that failed or approved nothing.
 	notBefore time.Time
 	// failedCalls counts the calls that failed since one was answered.
@@ -156,9 +158,20 @@
 
 func (a *adviceState) isApproved(w *worker) bool { return slices.Contains(a.approved, w) }
 
-// requestAdvice issues calls for steps, in order of rank, while advisers are
-// free.
+// sortAdviceTurns sorts steps by rank, but expired ones by their last call for
+// advice, so that those that ask again and again let the others ask too.
+func sortAdviceTurns(steps []*step) {
+	slices.SortStableFunc(steps, func(a, b *step) int {
+		if a.rank.tier == tierExpired && b.rank.tier == tierExpired {
+			return a.advice.calledAt.Compare(b.advice.calledAt)
+		}
+		return a.rank.compare(b.rank)
+	})
+}
+
+// requestAdvice issues calls for steps while advisers are free.
 func (c *Cell) requestAdvice(steps []*step) {
+	sortAdviceTurns(steps)
 	for _, s := range steps {
 		if c.freeAdviser(s.job.queue.config.Advice.DecisionTime) == nil {
 			if c.freeAdviser(0) == nil {
@@ -178,6 +191,7 @@
 		}
 		a.busyUntil = c.now.Add(expected + adviceCallMargin)
 		s.advice.callDeadline = a.busyUntil
+		s.advice.calledAt = c.now
 		c.counters.AdviceCalls++
 		c.orders.Advice = append(c.orders.Advice, AdviceOrder{
 			Adviser:  a.name,
