--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -22,8 +22,12 @@
 	// callDeadline is set while a call is in flight. After it the response counts
 	// as lost, and the step may call again.
 	callDeadline time.Time
+	// calledAt is when the last call was issued.
+	calledAt time.Time
 	// notBefore delays the next call after one that failed or approved nothing.
 	notBefore time.Time
+	// failedCalls counts the calls that failed since one was answered.
+	failedCalls int
 }
 
 // workerTicket permits starts on one incarnation of a worker.
@@ -39,8 +43,10 @@
 	// ticketTransitMargin is the part of a ticket's lifetime that is reserved for
 	// the transfer of the start to the worker.
 	ticketTransitMargin = 60 * time.Millisecond
-	// adviceRetryDelay is the pause after a failed call for advice.
-	adviceRetryDelay = 100 * time.Millisecond
+	// adviceRetryDelay is the pause after a failed call for advice. It doubles with
+	// each further failure, up to maxAdviceRetryDelay.
+	adviceRetryDelay    = 100 * time.Millisecond
+	maxAdviceRetryDelay = 2 * time.Second
 	// Calls that are expected to take longCallThreshold or longer may not use the
 	// advisers that are reserved for short calls, such as those of urgent queues.
 	longCallThreshold = 120 * time.Millisecond
@@ -152,9 +158,20 @@
 
 func (a *adviceState) isApproved(w *worker) bool { return slices.Contains(a.approved, w) }
 
-// requestAdvice issues calls for steps, in order of rank, while advisers are
-// free.
+// sortAdviceTurns sorts steps by rank, but expired ones by their last call for
+// advice, so that those that ask again and again let the others ask too.
+func sortAdviceTurns(steps []*step) {
+	slices.SortStableFunc(steps, func(a, b *step) int {
+		if a.rank.tier == tierExpired && b.rank.tier == tierExpired {
+			return a.advice.calledAt.Compare(b.advice.calledAt)
+		}
+		return a.rank.compare(b.rank)
+	})
+}
+
+// requestAdvice issues calls for steps while advisers are free.
 func (c *Cell) requestAdvice(steps []*step) {
+	sortAdviceTurns(steps)
 	for _, s := range steps {
 		if c.freeAdviser(s.job.queue.config.Advice.DecisionTime) == nil {
 			if c.freeAdviser(0) == nil {
@@ -174,6 +191,7 @@
 		}
 		a.busyUntil = c.now.Add(expected + adviceCallMargin)
 		s.advice.callDeadline = a.busyUntil
+		s.advice.calledAt = c.now
 		c.counters.AdviceCalls++
 		c.orders.Advice = append(c.orders.Advice, AdviceOrder{
 			Adviser:  a.name,
@@ -274,6 +292,15 @@
 	return min(max(c.minAdviceWorkers(s), int(math.Ceil(adviceOversampling*needed))), tanagerport.MaxAdviceWorkers)
 }
 
+// retryDelay returns the pause after a call that failed.
+func (a *adviceState) retryDelay() time.Duration {
+	delay := adviceRetryDelay
+	for i := 0; i < a.failedCalls && delay < maxAdviceRetryDelay; i++ {
+		delay *= 2
+	}
+	return min(delay, maxAdviceRetryDelay)
+}
+
 // HandleAdviceResponse applies the result of a call for advice that was issued at
 // askedAt.
 func (c *Cell) HandleAdviceResponse(now time.Time, order AdviceOrder, askedAt time.Time,
@@ -292,10 +319,12 @@
 	}
 	s.advice.callDeadline = time.Time{}
 	if err != nil {
-		s.advice.notBefore = now.Add(adviceRetryDelay)
+		s.advice.notBefore = now.Add(s.advice.retryDelay())
+		s.advice.failedCalls++
 		c.logAdvice(s, errorKind(err), now.Sub(askedAt))
 		return
 	}
+	s.advice.failedCalls = 0
 	c.logAdvice(s, "answered", now.Sub(askedAt))
 	c.applyAdvice(s, order.Workers, advice)
 }
