Ask about a worker again that was forgotten and has returned

A task that waited while its approved workers were away for longer than a worker is kept in memory (10 s) was never started, with all of them back and idle: to the caller, an accepted job that could run and did not (LOST).

Cause: a step remembered the workers that it had asked about by their ids, and those that advice had approved by their records. A worker that is forgotten and returns gets a new record under its id, so it counted as asked about and was not approved. Both are kept by record now.

TestForgottenWorkerIsAskedAboutAgain saw no start before, with the worker listed and idle for a second.

--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -13,8 +13,9 @@
 // adviceState is what a step knows of the workers that it may run on. The
 // approval of a worker is permanent, but its ticket expires.
 type adviceState struct {
-	// queried holds the ids of the workers that advice was requested for.
-	queried  map[string]bool
+	// queried holds the workers that advice was requested for. A worker that is
+	// forgotten and returns under its id is another one.
+	queried  map[*worker]bool
 	approved []*worker
 	tickets  map[string]workerTicket
 	// ticketsValidUntil is when the last ticket expires.
@@ -143,7 +144,7 @@
 			c.remainingSpread(s, w) < 1 || c.blockedByReservation(w, s) {
 			continue
 		}
-		if !s.advice.queried[w.id] || s.advice.isApproved(w) && s.advice.ticket(w, c.now) == "" {
+		if !s.advice.queried[w] || s.advice.isApproved(w) && s.advice.ticket(w, c.now) == "" {
 			return true
 		}
 	}
@@ -231,7 +232,7 @@
 	}
 	var found []candidate
 	for _, w := range c.usableWorkers {
-		if c.matchesConstraints(w, s) && !s.advice.queried[w.id] {
+		if c.matchesConstraints(w, s) && !s.advice.queried[w] {
 			found = append(found, candidate{
 				worker:    w,
 				taskCount: c.taskCapacity(s, w),
@@ -333,15 +334,18 @@
 	a := &s.advice
 	first := a.queried == nil
 	if first {
-		a.queried = make(map[string]bool)
+		a.queried = make(map[*worker]bool)
 		a.tickets = make(map[string]workerTicket)
 	}
 	a.ticketsValidUntil = c.now.Add(advice.Valid - ticketTransitMargin)
 	for _, id := range asked {
-		a.queried[id] = true
 		w := c.workers[id]
+		if w == nil {
+			continue
+		}
+		a.queried[w] = true
 		ticket := advice.Tickets[id]
-		if w == nil || ticket == "" {
+		if ticket == "" {
 			continue
 		}
 		if !a.isApproved(w) {
--- a/tanager/tanagerdispatch/advice_test.go
+++ b/tanager/tanagerdispatch/advice_test.go
@@ -38,3 +38,20 @@
 	h.c.Assert(starts, qt.HasLen, 1)
 	h.c.Assert(starts[0].Start.Ticket, qt.Equals, "ticket")
 }
+
+// A worker that was forgotten after a long absence returned under its id, and steps
+// that had asked about it before never used it again.
+func TestForgottenWorkerIsAskedAboutAgain(t *testing.T) {
+	h := newBatchHarness(t, &tanagerport.AdvicePolicy{TicketTTL: time.Second})
+	h.setWorkers(testWorker("a", 1))
+	h.cell.SetAdvisers([]string{"d1", "d2"})
+	h.sync()
+	h.cell.AddJob(h.now, testRecord("01", testStep(1, 1000)), nil)
+	h.answerAdvice(h.tick(15 * time.Millisecond).Advice)
+	h.setWorkers()
+	h.c.Assert(h.tick(2*unlistedRetention).Starts, qt.HasLen, 0)
+	h.c.Assert(h.cell.workers, qt.HasLen, 0)
+	h.setWorkers(testWorker("a", 2))
+	h.sync()
+	h.c.Assert(h.runWithAdvice(time.Second), qt.HasLen, 1)
+}
