--- a/tanager/tanagerdispatch/crash_test.go
+++ b/tanager/tanagerdispatch/crash_test.go
@@ -26,9 +26,11 @@
 	*harness
 	// newIDs lets workers come back under another id, which then responds at
 	// their former address.
-	newIDs  bool
-	deadly  func(tanagerwork.TaskName) bool
-	workers map[string]*fleetWorker
+	newIDs bool
+	deadly func(tanagerwork.TaskName) bool
+	// deadlyAge is how long after its start a deadly task crashes its worker.
+	deadlyAge time.Duration
+	workers   map[string]*fleetWorker
 	// badWorker crashes whatever it starts; crashNextStart lets the next start crash
 	// its worker.
 	badWorker      string
@@ -94,6 +96,7 @@
 	for ; d > 0; d -= crashTestTick {
 		f.tick(crashTestTick)
 		f.restartWorkers()
+		f.crashByAge()
 		polls := f.openPolls
 		f.openPolls = nil
 		for _, o := range f.orders.Starts {
@@ -135,6 +138,18 @@
 	}
 }
 
+// crashByAge crashes the workers whose deadly tasks have reached deadlyAge.
+func (f *crashFleet) crashByAge() {
+	for _, id := range sortedKeys(f.workers) {
+		w := f.workers[id]
+		if slices.ContainsFunc(w.running, func(r fleetRun) bool {
+			return f.deadlyAge > 0 && f.deadly(r.Task) && f.now.Sub(r.startedAt) >= f.deadlyAge
+		}) {
+			f.crash(w)
+		}
+	}
+}
+
 func (f *crashFleet) start(o StartOrder) {
 	w := f.workers[o.Worker.ID]
 	switch {
@@ -155,7 +170,7 @@
 	})
 	f.startedAt[o.Start.Task.Job] = f.now
 	f.accept(o)
-	if f.deadly(o.Start.Task) || o.Worker.ID == f.badWorker || f.crashNextStart {
+	if f.deadlyAge == 0 && f.deadly(o.Start.Task) || o.Worker.ID == f.badWorker || f.crashNextStart {
 		f.crashNextStart = false
 		f.crash(w)
 	}
@@ -255,6 +270,20 @@
 	}
 }
 
+// A task that crashed its workers a second after its start was never suspected, and
+// was started again and again.
+func TestTaskThatCrashesItsWorkersLaterIsGivenUp(t *testing.T) {
+	for _, s := range []tanagerwork.Step{testStep(1, 1000), gangStep(3, 2000)} {
+		r := testRecord("01", s)
+		f := newCrashFleet(t, 6, r.ID)
+		f.deadlyAge = time.Second
+		f.add(r)
+		f.run(time.Minute)
+		f.c.Check(f.crashes <= maxStartsOfDeadlyTask, qt.IsTrue, qt.Commentf("%d crashes", f.crashes))
+		f.checkState(r.ID, tanagerwork.Failed)
+	}
+}
+
 // Jobs that shared workers with deadly tasks from the start complete.
 func TestBystandersOfCrashesComplete(t *testing.T) {
 	for name, newIDs := range map[string]bool{"same id": false, "new id": true} {
