--- a/soak/main.go
+++ b/soak/main.go
@@ -31,7 +31,7 @@
 	length := app.Flag("length", "How long faults are injected.").Default("8s").Duration()
 	links := app.Flag("links", "Inject connection faults too.").Default("true").Bool()
 	capacity := app.Flag("capacity", "Make workers shrink and grow again too.").Default("true").Bool()
-	crashes := app.Flag("crashes", "Submit jobs that crash workers too.").Default("false").Bool()
+	crashes := app.Flag("crashes", "Submit jobs that crash workers too.").Default("true").Bool()
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	failed := 0
 	for seed := *first; seed < *first+*seeds; seed++ {
--- a/soak/tanagersoak/doc.go
+++ b/soak/tanagersoak/doc.go
@@ -6,8 +6,9 @@
 // signals that kill, stop, pause and restart daemons; store endpoints that are
 // unavailable, slow, lose responses or drop their history; workers that execute
 // commands late, stop responding, restart as a new incarnation or shrink and grow
-// again; connections that are slow, blocked or reset; new configurations. Faults overlap. Once all of
-// them are repaired, each accepted job has to end.
+// again; tasks that crash their workers; connections that are slow, blocked or
+// reset; new configurations. Faults overlap. Once all of them are repaired, each
+// accepted job has to end.
 //
 // The checks use only what is observable from outside the daemons: accepted jobs
 // are known and end; no refused job runs; no task runs twice at a time or after
--- a/soak/tanagersoak/soak_test.go
+++ b/soak/tanagersoak/soak_test.go
@@ -76,6 +76,18 @@
 	runSeed(t, buildDaemon(t), s)
 }
 
+// A run that includes tasks that crash the workers that start them.
+func TestCrashingTasks(t *testing.T) {
+	s := Settings{
+		Seed:             1401,
+		ConnectionFaults: true,
+		CapacityChanges:  true,
+		CrashingJobs:     true,
+	}
+	t.Logf("seed %d", s.Seed)
+	runSeed(t, buildDaemon(t), s)
+}
+
 // runSeed plays a seed with the kinds of faults that are set.
 func runSeed(t *testing.T, binary string, s Settings) {
 	t.Helper()
