Call tasks that crash their workers so in the simulation

Callers see nothing of it. Names only: no decision and no check changes.

Evidence: vet, staticcheck and revive of the package, and its tests of the patterns and of crashing tasks pass.

--- a/tanager/tanagerreplay/fault.go
+++ b/tanager/tanagerreplay/fault.go
@@ -152,23 +152,23 @@
 	}
 }
 
-// drawDeadlyJobs draws the jobs whose first task crashes its workers.
-func (s *simulation) drawDeadlyJobs(arrivals []*arrival) {
+// drawCrashingJobs draws the jobs whose first task crashes its workers.
+func (s *simulation) drawCrashingJobs(arrivals []*arrival) {
 	r := rand.New(rand.NewPCG(s.load.Seed, 5))
 	for _, f := range s.load.Faults {
 		for _, a := range arrivals {
 			if f.Kind == TasksCrash && a.at >= f.Start && a.at < f.Start+f.Duration && r.Float64() < f.Share {
-				a.deadly = true
+				a.crashesWorkers = true
 			}
 		}
 	}
 }
 
 // crashByTask crashes the worker of a run shortly after its start, if its task is
-// deadly. The worker's connections break at once.
+// crashing. The worker's connections break at once.
 func (s *simulation) crashByTask(w *simWorker, run *simRun) {
 	t := run.order.Start.Task
-	if !run.job.deadly || t.Step > 0 || t.Index > 0 {
+	if !run.job.crashesWorkers || t.Step > 0 || t.Index > 0 {
 		return
 	}
 	s.schedule(s.now.Add(crashDelay), func() {
--- a/tanager/tanagerreplay/load.go
+++ b/tanager/tanagerreplay/load.go
@@ -296,8 +296,8 @@
 	// minDuration is the duration of the job without queueing, including advice
 	// on 30 workers for each step.
 	minDuration time.Duration
-	// deadly jobs have a first task that crashes its workers.
-	deadly bool
+	// crashesWorkers is set for jobs with a first task that crashes its workers.
+	crashesWorkers bool
 }
 
 // sampleArrivals returns the jobs of the load in order of arrival. Each kind has
--- a/tanager/tanagerreplay/pattern_test.go
+++ b/tanager/tanagerreplay/pattern_test.go
@@ -94,7 +94,7 @@
 
 // Tasks that crash their workers are given up, and only they are.
 func TestDeadlyTasksAreGivenUp(t *testing.T) {
-	for i, r := range playPattern(t, "deadly_tasks") {
+	for i, r := range playPattern(t, "crashing_tasks") {
 		t.Logf("play %d: %d workers crashed, %d by one task, value %.3f", i, r.WorkerCrashes, r.MaxCrashesByTask, r.ValueRatio())
 		qt.Check(t, r.WorkerCrashes > 0, qt.IsTrue)
 		qt.Check(t, r.MaxCrashesByTask <= maxCrashesByTask, qt.IsTrue, qt.Commentf("play %d: %d crashes", i, r.MaxCrashesByTask))
--- a/tanager/tanagerreplay/report.go
+++ b/tanager/tanagerreplay/report.go
@@ -55,10 +55,10 @@
 	// DuplicateRuns counts starts of a task that was running, or whose end had
 	// reached the scheduler.
 	DuplicateRuns int
-	// WorkerCrashes counts the workers that deadly tasks have crashed,
+	// WorkerCrashes counts the workers that crashing tasks have crashed,
 	// MaxCrashesByTask those that one task has crashed.
 	WorkerCrashes, MaxCrashesByTask int
-	// FailedWithoutCause counts the jobs without a deadly task that are shown as
+	// FailedWithoutCause counts the jobs without a crashing task that are shown as
 	// failed at the end. The failing runs of a load are fewer than the attempts.
 	FailedWithoutCause int
 }
--- a/tanager/tanagerreplay/simulation.go
+++ b/tanager/tanagerreplay/simulation.go
@@ -139,7 +139,7 @@
 	reported map[tanagerwork.TaskName]bool
 	failures map[tanagerwork.TaskName]int
 	started  bool
-	// crashes counts the workers that the job's deadly task has crashed.
+	// crashes counts the workers that the job's crashing task has crashed.
 	crashes int
 }
 
@@ -168,7 +168,7 @@
 		}
 	}
 	arrivals := l.sampleArrivals(start)
-	s.drawDeadlyJobs(arrivals)
+	s.drawCrashingJobs(arrivals)
 	s.initReport(arrivals)
 	for _, a := range arrivals {
 		s.schedule(start.Add(a.at), func() { s.submit(a) })
@@ -183,7 +183,7 @@
 		e.run()
 	}
 	for id, j := range s.jobs {
-		if s.shownAsFailed(id) && !j.arrival.deadly {
+		if s.shownAsFailed(id) && !j.arrival.crashesWorkers {
 			s.report.FailedWithoutCause++
 		}
 		k := &s.report.Kinds[j.arrival.kind]
