--- a/review/play/worker.go
+++ b/review/play/worker.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,10 @@
 	id          string
 	address     netip.AddrPort
 	milliCPU    int64
+	machine     string
+	labels      []string
+	// leavesIn is how long a draining minion goes on, 0 if it does not drain.
+	leavesIn time.Duration
 	// duration returns how long a run works, how how it ends. needsTicket reports
 	// whether a task belongs to a queue with advice.
 	duration    func(task string) time.Duration
@@ -78,6 +83,8 @@
 		id:          id,
 		address:     address,
 		milliCPU:    milliCPU,
+		machine:     "machine-" + id,
+		labels:      []string{"a", "r1-1"},
 		duration:    func(string) time.Duration { return 300 * time.Millisecond },
 		how:         func(string, int64) string { return "done" },
 		needsTicket: func(string) bool { return false },
@@ -131,7 +138,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.seq++
-	w.environment.site.WriteKey("servers/"+w.id, tanagerwire.Encode(map[string]any{
+	entry := map[string]any{
 		"service":      tanagersite.ServiceName,
 		"address":      w.address.String(),
 		"zone":         "a",
@@ -141,18 +148,45 @@
 		"cold_left_ms": 0,
 		"seq":          w.seq,
 		"born":         w.born.UnixMilli(),
-		"machine":      "machine-" + w.id,
+		"machine":      w.machine,
 		"capacity":     map[string]any{"cpu": w.milliCPU, "mem_mb": 65536, "gpus": 0},
-		"labels":       []string{"a", "r1-1"},
-	}))
+		"labels":       w.labels,
+	}
+	if w.leavesIn > 0 {
+		entry["state"] = "draining"
+		entry["remaining_ms"] = w.leavesIn.Milliseconds()
+	}
+	w.environment.site.WriteKey("servers/"+w.id, tanagerwire.Encode(entry))
 }
 
-// crash ends the present life: its runs are gone and its port refuses
-// connections. The minion starts again under its id and address after down, and
-// writes its entry after a further delay.
-func (w *worker) crash(down, entryDelay time.Duration) error {
+// leave drains the minion and takes it away, with its entry.
+func (w *worker) leave(after time.Duration) error {
+	w.environment.note("%s: drains, leaves in %v", w.id, after)
+	w.mu.Lock()
+	w.leavesIn = after
+	w.mu.Unlock()
+	w.register()
+	time.Sleep(after)
+	w.lose()
+	_, store := w.environment.site.StoreEndpoint(0)
+	response, err := http.Post("http://"+store.String()+"/tanagersail/kv-txn", "application/cbor",
+		bytes.NewReader(tanagerwire.Encode(map[string]any{
+			"expected_rev": []any{},
+			"writes":       []any{},
+			"remove":       []string{"servers/" + w.id},
+		})))
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
+// lose ends the present life for good: its runs are gone and its port refuses
+// connections.
+func (w *worker) lose() {
 	w.mu.Lock()
-	w.environment.note("%s: crashes with %d runs", w.id, len(w.runs))
+	defer w.mu.Unlock()
+	w.environment.note("%s: ends with %d runs", w.id, len(w.runs))
 	w.up = false
 	for _, r := range w.runs {
 		r.timer.Stop()
@@ -160,7 +194,13 @@
 	}
 	w.runs = make(map[string]*taskRun)
 	_ = w.server.Close()
-	w.mu.Unlock()
+}
+
+// crash ends the present life: its runs are gone and its port refuses
+// connections. The minion starts again under its id and address after down, and
+// writes its entry after a further delay.
+func (w *worker) crash(down, entryDelay time.Duration) error {
+	w.lose()
 	time.Sleep(down)
 	w.mu.Lock()
 	w.beginLife()
