--- a/review/play/daemon.go
+++ b/review/play/daemon.go
@@ -62,7 +62,7 @@
 		"{{ip}}:{{internal_ports.1}}", addresses[3].String(),
 		"{{platform.address}}", store.String(),
 		"{{advice}}", e.advice.String(),
-		"{{cloud_api.address}}", "",
+		"{{cloud_api.address}}", e.machines,
 		"{{limits.cpu_share}}", fmt.Sprint(cpuShare),
 		"{{limits.memory_mb}}", fmt.Sprint(memoryMB),
 		"{{limits.max_fds}}", fmt.Sprint(maxFiles),
--- a/review/play/environment.go
+++ b/review/play/environment.go
@@ -23,6 +23,8 @@
 var (
 	errNotAccepted = errors.New("a job was not accepted")
 	errNoScheduler = errors.New("no daemon schedules")
+	// errWaveNotDone means that a wave was not done in time.
+	errWaveNotDone = errors.New("a wave is not done")
 )
 
 // The figures of the deployment that the cases play, as in the settings of a
@@ -48,6 +50,8 @@
 	template string
 	site     *tanagersite.Site
 	advice   netip.AddrPort
+	// machines is the address of the interface to the machines, empty without one.
+	machines string
 	ledger   *ledger
 
 	mu      sync.Mutex
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -32,8 +32,10 @@
 type caseFunc func(e *environment, trouble bool) ([]string, error)
 
 var cases = map[string]caseFunc{
-	"reborn-minion": playRebornMinion,
-	"removed-route": playRemovedRoute,
+	"reborn-minion":  playRebornMinion,
+	"removed-route":  playRemovedRoute,
+	"pending-count":  playPendingCount,
+	"wave-completed": playWaveCompleted,
 }
 
 func main() {
--- a/review/play/reborn.go
+++ b/review/play/reborn.go
@@ -7,7 +7,7 @@
 
 // The load and the crashes of the case reborn-minion.
 const (
-	rebornMinions   = 7
+	rebornMinions   = 8
 	rebornMilliCPU  = 4000
 	rebornTaskCPU   = 1000
 	rebornTaskTime  = 100 * time.Millisecond
@@ -17,7 +17,7 @@
 	rebornCyclePace = 5 * time.Second
 )
 
-// playRebornMinion crashes one of seven minions, which starts again under its id
+// playRebornMinion crashes one of eight minions, which starts again under its id
 // and address after less than a second and writes its entry within its heartbeat.
 func playRebornMinion(e *environment, trouble bool) ([]string, error) {
 	e.writeConfiguration(10, route("pairings", 4, false))
