--- a/review/play/environment.go
+++ b/review/play/environment.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -181,9 +183,8 @@
 func (e *environment) freePort() (netip.AddrPort, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	first := firstPort + os.Getpid()*37%(lastPort-firstPort)
-	for i := range lastPort - firstPort {
-		port := firstPort + (first-firstPort+i)%(lastPort-firstPort)
+	for range lastPort - firstPort {
+		port := firstPort + rand.IntN(lastPort-firstPort)
 		if e.taken[port] {
 			continue
 		}
@@ -217,8 +218,9 @@
 
 // startWorkers starts minions.
 func (e *environment) startWorkers(count int, milliCPU int64) error {
+	digits := max(2, len(strconv.Itoa(count-1)))
 	for i := range count {
-		w, err := e.newWorker(fmt.Sprintf("minion-%02d", i), milliCPU)
+		w, err := e.newWorker(fmt.Sprintf("minion-%0*d", digits, i), milliCPU)
 		if err != nil {
 			return err
 		}
--- a/review/play/main.go
+++ b/review/play/main.go
@@ -32,10 +32,11 @@
 type caseFunc func(e *environment, trouble bool) ([]string, error)
 
 var cases = map[string]caseFunc{
-	"reborn-minion":  playRebornMinion,
-	"removed-route":  playRemovedRoute,
-	"pending-count":  playPendingCount,
-	"wave-completed": playWaveCompleted,
+	"reborn-minion":   playRebornMinion,
+	"removed-route":   playRemovedRoute,
+	"pending-count":   playPendingCount,
+	"upkeep-takeover": playUpkeepTakeover,
+	"wave-completed":  playWaveCompleted,
 }
 
 func main() {
--- a/review/play/wave.go
+++ b/review/play/wave.go
@@ -121,6 +121,9 @@
 	defer m.mu.Unlock()
 	old := m.worker[name]
 	w, err := m.environment.newWorker(old.id+"-next", old.milliCPU)
+	if err == nil {
+		w.duration, w.startup, w.labels = old.duration, old.startup, old.labels
+	}
 	if err != nil {
 		m.environment.note("machines: %s does not return: %v", name, err)
 		return
--- a/review/play/worker.go
+++ b/review/play/worker.go
@@ -25,6 +25,8 @@
 	labels      []string
 	// leavesIn is how long a draining minion goes on, 0 if it does not drain.
 	leavesIn time.Duration
+	// A task is at work after startup, if that is set.
+	startup time.Duration
 	// duration returns how long a run works, how how it ends. needsTicket reports
 	// whether a task belongs to a queue with advice.
 	duration    func(task string) time.Duration
@@ -74,14 +76,9 @@
 }
 
 func (e *environment) newWorker(id string, milliCPU int64) (*worker, error) {
-	address, err := e.freePort()
-	if err != nil {
-		return nil, err
-	}
 	w := &worker{
 		environment: e,
 		id:          id,
-		address:     address,
 		milliCPU:    milliCPU,
 		machine:     "machine-" + id,
 		labels:      []string{"a", "r1-1"},
@@ -90,7 +87,7 @@
 		needsTicket: func(string) bool { return false },
 	}
 	w.beginLife()
-	if err := w.listen(); err != nil {
+	if err := w.listenAnywhere(); err != nil {
 		return nil, err
 	}
 	e.mu.Lock()
@@ -111,6 +108,22 @@
 	w.changed = make(chan struct{})
 }
 
+// listenAnywhere listens on a free port. Another process may take a port that was
+// just found to be free, so that a few are tried.
+func (w *worker) listenAnywhere() error {
+	for range 5 {
+		address, err := w.environment.freePort()
+		if err != nil {
+			return err
+		}
+		w.address = address
+		if w.listen() == nil {
+			return nil
+		}
+	}
+	return w.listen()
+}
+
 func (w *worker) listen() error {
 	listener, err := net.Listen("tcp", w.address.String())
 	if err != nil {
@@ -324,6 +337,19 @@
 	return http.StatusOK, ""
 }
 
+// atWork returns the number of runs at work.
+func (w *worker) atWork() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, r := range w.runs {
+		if time.Since(r.started) >= w.startup {
+			n++
+		}
+	}
+	return n
+}
+
 // finish ends a run and lists its end, unless it has ended before.
 func (w *worker) finish(r *taskRun, how string) {
 	if w.runs[r.task] != r {
@@ -392,6 +418,9 @@
 	running := make([][]any, 0, len(w.runs))
 	for _, r := range w.runs {
 		percent := min(99, int(100*time.Since(r.started)/w.duration(r.task)))
+		if w.startup > 0 {
+			percent = min(100, int(100*time.Since(r.started)/w.startup))
+		}
 		running = append(running, []any{r.task, r.number, "", percent, 0})
 	}
 	finished := make([][]any, 0, len(w.ends))
