--- a/review/play/main.go
+++ b/review/play/main.go
@@ -32,6 +32,7 @@
 type caseFunc func(e *environment, trouble bool) ([]string, error)
 
 var cases = map[string]caseFunc{
+	"deadly-task":     playDeadlyTask,
 	"reborn-minion":   playRebornMinion,
 	"removed-route":   playRemovedRoute,
 	"pending-count":   playPendingCount,
--- a/review/play/reborn.go
+++ b/review/play/reborn.go
@@ -7,18 +7,25 @@
 
 // The load and the crashes of the case reborn-minion.
 const (
-	rebornMinions   = 8
-	rebornMilliCPU  = 4000
-	rebornTaskCPU   = 1000
-	rebornTaskTime  = 100 * time.Millisecond
-	rebornJobPause  = 20 * time.Millisecond
-	rebornCrashes   = 8
-	rebornDownTime  = 1100 * time.Millisecond
-	rebornCyclePace = 5 * time.Second
+	rebornMinions  = 8
+	rebornMilliCPU = 4000
+	rebornTaskCPU  = 1000
+	rebornTaskTime = 50 * time.Millisecond
+	rebornJobPause = 15 * time.Millisecond
+	rebornCrashes  = 14
+	// rebornCount is how long starts are counted before each crash.
+	rebornCount     = 500 * time.Millisecond
+	rebornCyclePace = 4 * time.Second
 )
 
-// playRebornMinion crashes one of eight minions, which starts again under its id
-// and address after less than a second and writes its entry within its heartbeat.
+// rebornDownTimes are the times for which the minion is down, in turn. The scheduler
+// looks at a minion that is down less and less often; what is run between its start
+// and the next look is at stake.
+var rebornDownTimes = []time.Duration{1000 * time.Millisecond, 1100 * time.Millisecond}
+
+// playRebornMinion crashes one of eight minions at a time, the busiest. It starts
+// again under its id and address about a second later and writes its entry within its
+// heartbeat.
 func playRebornMinion(e *environment, trouble bool) ([]string, error) {
 	e.writeConfiguration(10, route("pairings", 4, false))
 	if err := e.startWorkers(rebornMinions, rebornMilliCPU); err != nil {
@@ -39,10 +46,10 @@
 	}()
 	time.Sleep(3 * time.Second)
 	var err error
-	for range rebornCrashes {
+	for i := range rebornCrashes {
 		begun := time.Now()
 		if trouble {
-			err = e.workers[0].crash(rebornDownTime, heartbeat/2)
+			err = e.busiest().crash(rebornDownTimes[i%len(rebornDownTimes)], heartbeat/2)
 		}
 		if err != nil {
 			break
@@ -58,6 +65,22 @@
 	return e.ledger.twice(), nil
 }
 
+// busiest returns the minion that starts the most runs within rebornCount.
+func (e *environment) busiest() *worker {
+	before := make(map[*worker]int)
+	for _, w := range e.workers {
+		before[w] = w.startCount()
+	}
+	time.Sleep(rebornCount)
+	best := e.workers[0]
+	for _, w := range e.workers {
+		if w.startCount()-before[w] > best.startCount()-before[best] {
+			best = w
+		}
+	}
+	return best
+}
+
 // submitSteadily submits jobs of one short task until stop is closed.
 func (e *environment) submitSteadily(stop chan struct{}) {
 	c := e.newCaller()
--- a/review/play/worker.go
+++ b/review/play/worker.go
@@ -32,6 +32,10 @@
 	duration    func(task string) time.Duration
 	how         func(task string, run int64) string
 	needsTicket func(task string) bool
+	// crashes reports whether a task crashes its minion at its end, which is then
+	// away for downTime.
+	crashes  func(task string) bool
+	downTime time.Duration
 
 	mu     sync.Mutex
 	server *http.Server
@@ -46,7 +50,9 @@
 	lastEnded map[string]int64
 	ends      []end
 	lastEnd   int64
-	changed   chan struct{}
+	// started counts the runs that were started in all lives.
+	started int
+	changed chan struct{}
 }
 
 // taskRun is a run of a task on a minion.
@@ -85,6 +91,7 @@
 		duration:    func(string) time.Duration { return 300 * time.Millisecond },
 		how:         func(string, int64) string { return "done" },
 		needsTicket: func(string) bool { return false },
+		crashes:     func(string) bool { return false },
 	}
 	w.beginLife()
 	if err := w.listenAnywhere(); err != nil {
@@ -315,9 +322,16 @@
 		started: time.Now(),
 	}
 	w.runs[o.Task] = r
+	w.started++
 	w.environment.ledger.begun(w.id, r)
 	w.environment.note("%s: start of %s run %d, token %d", w.id, o.Task, o.Run, o.FencingToken)
 	r.timer = time.AfterFunc(w.duration(o.Task), func() {
+		if w.crashes(r.task) && w.isRunning(r) {
+			if err := w.crash(w.downTime, 0); err != nil {
+				w.environment.note("%s does not return: %v", w.id, err)
+			}
+			return
+		}
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.finish(r, w.how(r.task, r.number))
@@ -337,6 +351,18 @@
 	return http.StatusOK, ""
 }
 
+func (w *worker) isRunning(r *taskRun) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.runs[r.task] == r
+}
+
+func (w *worker) startCount() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.started
+}
+
 // atWork returns the number of runs at work.
 func (w *worker) atWork() int {
 	w.mu.Lock()
