Tell unconfirmed crashes of workers from confirmed ones

Cause: a start that was refused by another incarnation, which proves that nothing ran, and a start that got no response counted as a crash under the task. With no other suspect two of them failed the job for good. A worker whose lease had expired counted as crashed too.

A crash is confirmed if the worker had accepted or reported the run and has restarted. Five crashes in a row of any kind give a task up, so that a task that crashes its workers before they respond is not started a sixth time. The kinds are stored separately with the progress.

--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -19,6 +19,11 @@
 // crashWindow. A suspect is started where no other run has been started within
 // crashWindow, and no other follows within that time, so that the next crash
 // separates the culprit from the others.
+//
+// A crash is confirmed if the worker had accepted or reported the run and has
+// restarted. A start without a response may never have reached the worker, and
+// a worker that does not return may only have been cut off: such unconfirmed
+// crashes do not suffice to give a task up as soon.
 
 const (
 	// crashWindow is how long after its start a task may crash its worker.
@@ -26,10 +31,12 @@
 	// maxCrashes is the number of crashes in a row that are attributed to a task
 	// after which the task is given up. maxSoleCrashes is the number that suffices
 	// if the last one can be attributed to no other job, and maxLateCrashes the
-	// number if it was noticed late.
-	maxCrashes     = 3
-	maxSoleCrashes = 2
-	maxLateCrashes = 4
+	// number if it was noticed late. maxUnconfirmedCrashes is the number that
+	// suffices if they are not confirmed; the others count confirmed crashes only.
+	maxCrashes            = 3
+	maxSoleCrashes        = 2
+	maxLateCrashes        = 4
+	maxUnconfirmedCrashes = 5
 	// maxCrashWriteWait bounds how long a suspect waits until its crashes are
 	// stored, so that a successor continues to count.
 	maxCrashWriteWait = 80 * time.Millisecond
@@ -44,8 +51,11 @@
 const (
 	// unsuspected runs had outlived crashWindow.
 	unsuspected suspicion = iota
+	// suspectedUnconfirmed runs may not have been started before the crash, or the
+	// worker may only have been cut off.
+	suspectedUnconfirmed
 	// suspectedLate runs may have been started shortly before the crash, but it was
-	// noticed late, or the worker may only have been cut off.
+	// noticed late.
 	suspectedLate
 	// suspectedWithOthers runs were started shortly before the crash, as were runs
 	// of other jobs.
@@ -58,6 +68,8 @@
 // String returns the form that is written to the log.
 func (s suspicion) String() string {
 	switch s {
+	case suspectedUnconfirmed:
+		return "unconfirmed"
 	case suspectedLate:
 		return "noticed late"
 	case suspectedWithOthers:
@@ -98,7 +110,9 @@
 	for _, a := range suspects {
 		otherJob := slices.ContainsFunc(suspects, func(o *attempt) bool { return o.step.job != a.step.job })
 		switch {
-		case !restarted || w.silentSince.Sub(a.startSentAt) > crashWindow:
+		case !restarted || a.startedAt.IsZero():
+			a.suspicion = suspectedUnconfirmed
+		case w.silentSince.Sub(a.startSentAt) > crashWindow:
 			a.suspicion = suspectedLate
 		case otherJob:
 			a.suspicion = suspectedWithOthers
@@ -118,9 +132,28 @@
 	return a.startedAt.IsZero() || !a.startSentAt.Add(crashWindow).Before(w.lastAlive)
 }
 
-// crashes returns the runs in a row of a task, or of its gang, under which their
+// crashHistory holds the runs in a row of a task, or of its gang, under which their
 // workers have crashed.
-func (s *step) crashes(index int) *tanagerwork.FailedRuns {
+type crashHistory struct {
+	confirmed, unconfirmed tanagerwork.FailedRuns
+}
+
+// add adds a run and reports whether it was not yet known.
+func (h *crashHistory) add(run int64, s suspicion) bool {
+	if slices.Contains(h.confirmed, run) || slices.Contains(h.unconfirmed, run) {
+		return false
+	}
+	if s == suspectedUnconfirmed {
+		return h.unconfirmed.Add(run)
+	}
+	return h.confirmed.Add(run)
+}
+
+// count returns the number of crashes, confirmed or not.
+func (h *crashHistory) count() int { return len(h.confirmed) + len(h.unconfirmed) }
+
+// crashes returns the crashes under a task, or under its gang.
+func (s *step) crashes(index int) *crashHistory {
 	if s.spec.Gang {
 		return &s.gang.crashes
 	}
@@ -128,7 +161,7 @@
 }
 
 // suspect reports whether a task, or its gang, may crash the worker that starts it.
-func (s *step) suspect(index int) bool { return len(*s.crashes(index)) > 0 }
+func (s *step) suspect(index int) bool { return s.crashes(index).count() > 0 }
 
 // recordCrash counts the crash of a worker under an attempt that has been
 // removed, and gives its task up after too many.
@@ -138,7 +171,7 @@
 		return
 	}
 	crashes := s.crashes(a.index)
-	if !crashes.Add(a.run) {
+	if !crashes.add(a.run, a.suspicion) {
 		return
 	}
 	certainty := a.suspicion
@@ -149,9 +182,10 @@
 	s.crashVersion = s.job.progressVersion
 	s.crashedAt = c.now
 	s.crashedWorker = a.worker.ref()
-	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, %s", len(*crashes), certainty))
-	if s.crashLimitReached(len(*crashes), certainty) {
-		c.logAttempt("task_given_up", a, fmt.Sprintf("%d workers have crashed under it", len(*crashes)))
+	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, %d confirmed, %s",
+		crashes.count(), len(crashes.confirmed), certainty))
+	if s.crashLimitReached(crashes, certainty) {
+		c.logAttempt("task_given_up", a, fmt.Sprintf("%d workers have crashed under it", crashes.count()))
 		c.finishJob(s.job, tanagerwork.Failed, "a task crashes its workers")
 	}
 }
@@ -164,19 +198,24 @@
 	return w.id == last.ID || w.entry.Address.IsValid() && w.entry.Address == last.Address
 }
 
-// crashLimitReached reports whether a task is given up after a number of crashes
-// in a row. A long-running task, which must otherwise be restarted however it
-// ends, needs all crashes and a certain one.
-func (s *step) crashLimitReached(count int, last suspicion) bool {
-	switch {
-	case s.spec.LongRunning:
-		return count >= maxCrashes && last == suspectedAlone
-	case last == suspectedAlone:
-		return count >= maxSoleCrashes
-	case last == suspectedWithOthers:
-		return count >= maxCrashes
+// crashLimitReached reports whether a task is given up after its crashes in a
+// row. A long-running task, which must otherwise be restarted however it ends,
+// needs all crashes and a certain one.
+func (s *step) crashLimitReached(h *crashHistory, last suspicion) bool {
+	confirmed := len(h.confirmed)
+	if s.spec.LongRunning {
+		return confirmed >= maxCrashes && last == suspectedAlone
+	}
+	if h.count() >= maxUnconfirmedCrashes {
+		return true
+	}
+	switch last {
+	case suspectedAlone:
+		return confirmed >= maxSoleCrashes
+	case suspectedWithOthers:
+		return confirmed >= maxCrashes
 	}
-	return count >= maxLateCrashes
+	return confirmed >= maxLateCrashes
 }
 
 // recordSurvival clears a task of suspicion if a run of it, or all members of its
@@ -192,7 +231,7 @@
 	if !s.suspect(a.index) || s.spec.Gang && !s.allSurvived() {
 		return
 	}
-	*s.crashes(a.index) = nil
+	*s.crashes(a.index) = crashHistory{}
 	c.markDirty(s.job)
 }
 
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -81,7 +81,7 @@
 	// lastRun is the highest run number of the gang.
 	lastRun    int64
 	failures   tanagerwork.FailedRuns
-	crashes    tanagerwork.FailedRuns
+	crashes    crashHistory
 	checkpoint string
 	// reservation lists the workers on which capacity is reserved until the gang
 	// starts.
@@ -96,7 +96,7 @@
 type task struct {
 	done       bool
 	failures   tanagerwork.FailedRuns
-	crashes    tanagerwork.FailedRuns
+	crashes    crashHistory
 	lastRun    int64
 	checkpoint string
 	attempt    *attempt
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -45,7 +45,8 @@
 func (s *step) restore(sp *tanagerwork.StepProgress) {
 	if s.spec.Gang {
 		s.gang.failures = sp.Failures[0]
-		s.gang.crashes = sp.Crashes[0]
+		s.gang.crashes.confirmed = sp.Crashes[0]
+		s.gang.crashes.unconfirmed = sp.UnconfirmedCrashes[0]
 		s.gang.checkpoint = sp.Checkpoints[0]
 		return
 	}
@@ -56,7 +57,12 @@
 	}
 	for i, crashes := range sp.Crashes {
 		if s.hasTask(i) {
-			s.tasks[i].crashes = crashes
+			s.tasks[i].crashes.confirmed = crashes
+		}
+	}
+	for i, crashes := range sp.UnconfirmedCrashes {
+		if s.hasTask(i) {
+			s.tasks[i].crashes.unconfirmed = crashes
 		}
 	}
 	for i, checkpoint := range sp.Checkpoints {
@@ -152,6 +158,8 @@
 		Failures:    make(map[int]tanagerwork.FailedRuns),
 		Crashes:     make(map[int]tanagerwork.FailedRuns),
 		Checkpoints: make(map[int]string),
+
+		UnconfirmedCrashes: make(map[int]tanagerwork.FailedRuns),
 	}
 	if sp.AllDone {
 		return sp, true
@@ -159,9 +167,7 @@
 	if len(s.gang.failures) > 0 {
 		sp.Failures[0] = s.gang.failures
 	}
-	if len(s.gang.crashes) > 0 {
-		sp.Crashes[0] = s.gang.crashes
-	}
+	addCrashes(&sp, 0, &s.gang.crashes)
 	if s.gang.checkpoint != "" {
 		sp.Checkpoints[0] = s.gang.checkpoint
 	}
@@ -174,14 +180,22 @@
 		if len(t.failures) > 0 {
 			sp.Failures[i] = t.failures
 		}
-		if len(t.crashes) > 0 {
-			sp.Crashes[i] = t.crashes
-		}
+		addCrashes(&sp, i, &t.crashes)
 		if t.checkpoint != "" {
 			sp.Checkpoints[i] = t.checkpoint
 		}
 	}
-	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Crashes)+len(sp.Checkpoints) > 0
+	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Crashes)+len(sp.UnconfirmedCrashes)+len(sp.Checkpoints) > 0
+}
+
+// addCrashes adds the crashes under a task to the progress of its step.
+func addCrashes(sp *tanagerwork.StepProgress, index int, h *crashHistory) {
+	if len(h.confirmed) > 0 {
+		sp.Crashes[index] = h.confirmed
+	}
+	if len(h.unconfirmed) > 0 {
+		sp.UnconfirmedCrashes[index] = h.unconfirmed
+	}
 }
 
 // ExpiredJobs returns the ids, sorted and at most limit, of ended jobs whose
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -105,7 +105,7 @@
 		w.recordAlive(now)
 		c.startAccepted(a)
 	case err == nil:
-		c.startRefused(a, order.Start.Epoch, response.Status)
+		c.startRefused(a, order, response.Status)
 	case errorx.IsOfType(err, tanagerport.Refused):
 		w.recordSilent(now)
 		c.startUnsent(a, err)
@@ -139,12 +139,12 @@
 }
 
 // startRefused applies a status that proves that this order has started nothing.
-func (c *Cell) startRefused(a *attempt, epoch uint64, status tanagerport.Status) {
+func (c *Cell) startRefused(a *attempt, order StartOrder, status tanagerport.Status) {
 	c.counters.StartsRefused++
 	c.logAttempt("start_refused", a, string(status))
 	switch status {
 	case tanagerport.Fenced:
-		c.handleFenced(epoch)
+		c.handleFenced(order.Start.Epoch)
 	case tanagerport.TicketRejected:
 		a.step.advice.discardTicket(a.worker)
 	case tanagerport.InsufficientCapacity:
@@ -152,8 +152,7 @@
 	case tanagerport.Unhealthy:
 		a.worker.health.avoidUntil = c.now.Add(unhealthyBackoff)
 	case tanagerport.OtherIncarnation:
-		c.loseAttempts(a.worker, "another incarnation responded at its address", true)
-		a.worker.synced = false
+		c.startMisdirected(a)
 		return
 	}
 	if a.startsSent > 1 {
@@ -164,6 +163,18 @@
 	c.discardUnstarted(a, string(status))
 }
 
+// startMisdirected handles a start that reached another worker, at the address
+// that the addressed incarnation had, so that all runs of that have ended. The
+// refused start is not among them.
+func (c *Cell) startMisdirected(a *attempt) {
+	w := a.worker
+	if a.startsSent == 1 {
+		c.discardUnstarted(a, string(tanagerport.OtherIncarnation))
+	}
+	c.loseAttempts(w, "another incarnation responded at its address", true)
+	w.synced = false
+}
+
 // startUnsent handles a start of which no byte was sent.
 func (c *Cell) startUnsent(a *attempt, err error) {
 	a.worker.health.avoidUntil = c.now.Add(unreachableBackoff)
--- a/tanager/tanagerwork/record.go
+++ b/tanager/tanagerwork/record.go
@@ -48,6 +48,9 @@
 	// Crashes are the last runs under which the worker crashed shortly after their
 	// start, by task index; those of a gang are stored under 0.
 	Crashes map[int]FailedRuns `json:"crashes,omitempty"`
+	// UnconfirmedCrashes are those runs of which it is not certain that they had
+	// started, or that the worker crashed and was not only cut off.
+	UnconfirmedCrashes map[int]FailedRuns `json:"unconfirmed_crashes,omitempty"`
 	// Checkpoints are the latest checkpoints by task index; that of a gang is
 	// stored under 0.
 	Checkpoints map[int]string `json:"saved,omitempty"`
