Keep the runs of the next incarnation when a start is misdirected

Cause: the refusal of a start by another incarnation removed all runs of the worker, also if that had restarted under its id since the start was sent. Its present runs were then started elsewhere.

Evidence: TestMisdirectedStartKeepsRunsOfNextIncarnation fails on: the attempt on the next incarnation is gone after the refusal.

The order carries the incarnation that it was addressed to. Only if that is still the latest one known does the refusal say anything of the worker's runs.

--- a/tanager/tanagerdispatch/crash_test.go
+++ b/tanager/tanagerdispatch/crash_test.go
@@ -620,6 +620,13 @@
 	h.storeProgress()
 }
 
+// restart lists a worker with its next incarnation and polls it.
+func (h *harness) restart(id string) {
+	h.setWorkers(testWorker(id, h.cell.workers[id].incarnation+1))
+	h.tick(crashTestTick)
+	h.respondToPolls(tanagerport.Report{Incarnation: h.cell.workers[id].incarnation})
+}
+
 // nextStart advances the time until a start is ordered.
 func (h *harness) nextStart() StartOrder {
 	h.c.Helper()
@@ -689,6 +696,21 @@
 	qt.Check(t, s.crashLimitReached(h, suspectedAlone), qt.IsTrue)
 }
 
+// A start that was addressed to a former incarnation, and refused at the address
+// that it had, ended the runs of the present one in the scheduler's view.
+func TestMisdirectedStartKeepsRunsOfNextIncarnation(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	first := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.restart("a")
+	second := h.submit(testRecord("02", testStep(1, 1000)))[0]
+	h.accept(second)
+	h.cell.HandleStartResponse(h.now, first, tanagerport.Response{Status: tanagerport.OtherIncarnation}, nil)
+	h.c.Check(h.cell.jobs[second.Start.Task.Job].steps[0].tasks[0].attempt, qt.IsNotNil)
+	h.c.Check(h.cell.jobs[first.Start.Task.Job].steps[0].tasks[0].attempt, qt.IsNil)
+}
+
 // A successor continues to count unconfirmed crashes, and as such.
 func TestUnconfirmedCrashesAreRestored(t *testing.T) {
 	for name, s := range map[string]tanagerwork.Step{"single": testStep(1, 500), "gang": gangStep(1, 500)} {
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -152,7 +152,7 @@
 	case tanagerport.Unhealthy:
 		a.worker.health.avoidUntil = c.now.Add(unhealthyBackoff)
 	case tanagerport.OtherIncarnation:
-		c.startMisdirected(a)
+		c.startMisdirected(a, order)
 		return
 	}
 	if a.startsSent > 1 {
@@ -164,15 +164,21 @@
 }
 
 // startMisdirected handles a start that reached another worker, at the address
-// that the addressed incarnation had, so that all runs of that have ended. The
-// refused start is not among them.
-func (c *Cell) startMisdirected(a *attempt) {
+// that the addressed incarnation had. If that is still the latest one known, all
+// its runs have ended. The refused start is not among them.
+func (c *Cell) startMisdirected(a *attempt, order StartOrder) {
 	w := a.worker
 	if a.startsSent == 1 {
 		c.discardUnstarted(a, string(tanagerport.OtherIncarnation))
 	}
-	c.loseAttempts(w, "another incarnation responded at its address", true)
-	w.synced = false
+	if order.Worker.Incarnation == w.incarnation {
+		c.loseAttempts(w, "another incarnation responded at its address", true)
+		w.synced = false
+		return
+	}
+	if a.startsSent > 1 {
+		c.stopAttempt(a, "start misdirected, an earlier one got no response")
+	}
 }
 
 // startUnsent handles a start of which no byte was sent.
