Store the policy of a queue with its jobs

Cause: attempts, advice, objective and priority of a removed queue were kept only in the memory of a scheduler that had seen a configuration with it. Its successor made up one attempt and no advice.

The record of a job carries the policy under which it was accepted and its version. It is in force only while the configuration lacks the queue.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -188,6 +188,9 @@
 // queue holds the configuration and the statistics of a queue.
 type queue struct {
 	config tanagerport.Queue
+	// policyVersion is the version of the configuration that the policy in config
+	// is from; 0 if the policy is not known.
+	policyVersion int64
 	// removedAt is when the operator removed the queue; zero if it is configured.
 	removedAt time.Time
 	jobCount  int
@@ -250,6 +253,7 @@
 		present[q.Name] = true
 		known := c.findOrAddQueue(q.Name, q.Service)
 		known.config = q
+		known.policyVersion = config.Version
 		known.removedAt = time.Time{}
 	}
 	for name, q := range c.queues {
@@ -299,6 +303,17 @@
 	return q
 }
 
+// adoptPolicy takes the policy from the record of a job if the queue is not
+// configured and no later policy is known: the operator has removed the queue, or
+// this scheduler has not read the configuration yet.
+func (q *queue) adoptPolicy(p *tanagerwork.QueuePolicy) {
+	if p == nil || q.removedAt.IsZero() || p.Version < q.policyVersion {
+		return
+	}
+	q.config.SetPolicy(p)
+	q.policyVersion = p.Version
+}
+
 // Tick advances the cell to now: it expires leases, makes scheduling decisions
 // and issues the orders that follow from them.
 func (c *Cell) Tick(now time.Time) {
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -169,6 +169,7 @@
 		state:     tanagerwork.Queued,
 		inherited: record.Epoch < c.epoch && len(c.predecessorLeases) > 0,
 	}
+	j.queue.adoptPolicy(record.Policy)
 	j.objective = j.queue.objective(&record.Spec)
 	j.queue.updateMeanMaxWait(expiryFactor*j.objective - record.Spec.CriticalPath())
 	c.jobs[record.ID] = j
--- a/tanager/tanagerport/operator.go
+++ b/tanager/tanagerport/operator.go
@@ -1,6 +1,10 @@
 package tanagerport
 
-import "time"
+import (
+	"time"
+
+	"tanagersail.example/tanager/tanagerwork"
+)
 
 // Advice lists the workers that may run a step, with a ticket for each worker id.
 // Valid is how long the tickets may be used.
@@ -9,13 +13,8 @@
 	Valid   time.Duration
 }
 
-// AdvicePolicy describes how long a call for advice takes, DecisionTime plus
-// TimePerWorker for each worker asked about, and how long its tickets are valid.
-type AdvicePolicy struct {
-	DecisionTime  time.Duration
-	TimePerWorker time.Duration
-	TicketTTL     time.Duration
-}
+// AdvicePolicy describes the calls for advice.
+type AdvicePolicy = tanagerwork.AdvicePolicy
 
 // MaxAdviceWorkers is the maximum number of workers in one call for advice.
 const MaxAdviceWorkers = 100
@@ -41,6 +40,28 @@
 	Advice *AdvicePolicy
 }
 
+// Policy returns the part of the configuration, which has the given version, that
+// is stored with each job.
+func (q *Queue) Policy(version int64) *tanagerwork.QueuePolicy {
+	return &tanagerwork.QueuePolicy{
+		Version:     version,
+		Priority:    q.Priority,
+		MaxAttempts: q.MaxAttempts,
+		Stretch:     q.Stretch,
+		Slack:       q.Slack,
+		Advice:      q.Advice,
+	}
+}
+
+// SetPolicy replaces the part of the configuration that is stored with each job.
+func (q *Queue) SetPolicy(p *tanagerwork.QueuePolicy) {
+	q.Priority = p.Priority
+	q.MaxAttempts = p.MaxAttempts
+	q.Stretch = p.Stretch
+	q.Slack = p.Slack
+	q.Advice = p.Advice
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name string
--- a/tanager/tanagerwork/record.go
+++ b/tanager/tanagerwork/record.go
@@ -27,6 +27,9 @@
 	// workers that runs it.
 	Queue   string `json:"queue"`
 	Service string `json:"service"`
+	// Policy is the queue's policy at the time of acceptance. It is in force while
+	// the configuration lacks the queue; nil in records of former versions.
+	Policy *QueuePolicy `json:"policy,omitempty"`
 	// Epoch is the epoch of the scheduler at the time of acceptance. A scheduler
 	// with a lower epoch must not start the job.
 	Epoch uint64 `json:"epoch"`
@@ -35,6 +38,30 @@
 	Spec    Spec      `json:"spec"`
 }
 
+// QueuePolicy is how the operator wants the jobs of a queue scheduled.
+type QueuePolicy struct {
+	// Version is the version of the configuration that the policy is from.
+	Version int64 `json:"version"`
+	// Priority is the scheduling priority; 0 is urgent and comes first.
+	Priority int `json:"priority"`
+	// MaxAttempts is the number of failed runs of a task at which its job fails.
+	MaxAttempts int `json:"max_attempts"`
+	// The objective of a job is Stretch times the duration of its critical path,
+	// plus Slack.
+	Stretch float64       `json:"stretch"`
+	Slack   time.Duration `json:"slack"`
+	// Advice is nil if steps may run on any worker.
+	Advice *AdvicePolicy `json:"advice,omitempty"`
+}
+
+// AdvicePolicy describes how long a call for advice takes, DecisionTime plus
+// TimePerWorker for each worker asked about, and how long its tickets are valid.
+type AdvicePolicy struct {
+	DecisionTime  time.Duration `json:"decision_time"`
+	TimePerWorker time.Duration `json:"time_per_worker"`
+	TicketTTL     time.Duration `json:"ticket_ttl"`
+}
+
 // StepProgress is the durable progress of a step in one occurrence.
 type StepProgress struct {
 	Occurrence int `json:"occurrence"`
--- a/tanagerd/tanagercell/frontend.go
+++ b/tanagerd/tanagercell/frontend.go
@@ -60,6 +60,7 @@
 			ID:      s.ID,
 			Queue:   s.Queue.Name,
 			Service: s.Queue.Service,
+			Policy:  s.Queue.Policy(v.configurationVersion()),
 			Arrived: s.Arrived,
 			Spec:    s.Spec,
 		}),
--- a/tanagerd/tanagercell/frontend_test.go
+++ b/tanagerd/tanagercell/frontend_test.go
@@ -10,6 +10,7 @@
 	"tanagersail.example/tanager/tanageradmission"
 	"tanagersail.example/tanager/tanagerdispatch"
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwire"
 	"tanagersail.example/tanager/tanagerwork"
 )
 
@@ -78,3 +79,56 @@
 		qt.Check(t, result.Reply, qt.Equals, tc.want, qt.Commentf("%s", name))
 	}
 }
+
+// recordingStore records the transactions and does not respond to them.
+type recordingStore struct {
+	unresponsiveStore
+	commits chan tanagerport.Transaction
+}
+
+func (s recordingStore) Commit(ctx context.Context, t tanagerport.Transaction) (int64, []tanagerport.Item, error) {
+	select {
+	case s.commits <- t:
+	default:
+	}
+	return s.unresponsiveStore.Commit(ctx, t)
+}
+
+// The policy of a queue was known only to schedulers that had read a configuration
+// with that queue.
+func TestPolicyIsStoredWithJob(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFrontend(t, "")
+	store := recordingStore{commits: make(chan tanagerport.Transaction, 1)}
+	f.committer = newCommitter(store)
+	f.committer.currentEpoch = func() (uint64, int64) { return 1, 1 }
+	f.committer.onCommitError = func(int, error) {}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go f.committer.run(ctx)
+	f.control.view.Store(&view{
+		configuration: &tanagerport.Configuration{Version: 7},
+		storeUp:       true,
+	})
+	submitted := make(chan tanagerport.Result, 1)
+	go func() {
+		submitted <- f.Submit(ctx, tanagerport.Submission{
+			Queue: tanagerport.Queue{
+				Name:        "q",
+				MaxAttempts: 4,
+				Advice:      &tanagerport.AdvicePolicy{TicketTTL: time.Second},
+			},
+			ID: "0000000000000001",
+		})
+	}()
+	transaction := <-store.commits
+	cancel()
+	<-submitted
+	c.Assert(transaction.Writes, qt.HasLen, 1)
+	var record tanagerwork.Record
+	c.Assert(tanagerwire.Decode(transaction.Writes[0].Value, &record), qt.IsNil)
+	c.Assert(record.Policy, qt.IsNotNil)
+	c.Check(record.Policy.Version, qt.Equals, int64(7))
+	c.Check(record.Policy.MaxAttempts, qt.Equals, 4)
+	c.Check(record.Policy.Advice.TicketTTL, qt.Equals, time.Second)
+}
--- a/tanagerd/tanagercell/view.go
+++ b/tanagerd/tanagercell/view.go
@@ -20,6 +20,15 @@
 	stopping         bool
 }
 
+// configurationVersion returns the version of the configuration, or 0 before the
+// first one.
+func (v *view) configurationVersion() int64 {
+	if v.configuration == nil {
+		return 0
+	}
+	return v.configuration.Version
+}
+
 func (c *control) publishView() {
 	c.view.Store(&view{
 		configuration:    c.configuration,
