Decide on a wave only by a list of machines that was requested for it

Cause: the list of machines is requested only while a wave runs. The first tick of a new wave used the list from the wave before, which lacked a machine that had joined since, and a machine that is not listed counts as gone.

TestWaveAwaitsListWithNewMachine fails without the two conditions.

The list carries the time of its request. One from before the wave decides nothing, and an unlisted machine counts as gone only machineListLag later.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -34,6 +34,8 @@
 	usableWorkers []*worker
 	waves         map[int]*wave
 	machines      map[string]tanagerport.Machine
+	// machinesAsOf is when the list of machines was requested.
+	machinesAsOf time.Time
 	// readySteps have tasks that wait for a worker and whose dependencies are
 	// done.
 	readySteps []*step
--- a/tanager/tanagerdispatch/wave.go
+++ b/tanager/tanagerdispatch/wave.go
@@ -59,8 +59,10 @@
 	}
 }
 
-// SetMachines replaces the list of machines.
-func (c *Cell) SetMachines(machines []tanagerport.Machine) {
+// SetMachines replaces the list of machines. It shows them as of requestedAt, when it
+// was requested, or later.
+func (c *Cell) SetMachines(requestedAt time.Time, machines []tanagerport.Machine) {
+	c.machinesAsOf = requestedAt
 	c.machines = make(map[string]tanagerport.Machine, len(machines))
 	for _, m := range machines {
 		c.machines[m.Name] = m
@@ -91,11 +93,20 @@
 }
 
 func (c *Cell) advanceWave(w *wave) {
+	if c.machinesAsOf.Before(w.addedAt) {
+		// The list may lack machines of the wave that have joined since.
+		c.reportWave(w, false)
+		return
+	}
+	unlistedAreGone := c.machinesAsOf.Sub(w.addedAt) >= machineListLag
 	available := w.config.MaxUnavailable
 	remaining := 0
 	for _, name := range w.config.Machines {
 		m, listed := c.machines[name]
 		if !listed {
+			if !unlistedAreGone {
+				remaining++
+			}
 			continue
 		}
 		if at, accepted := w.acceptedAt[name]; accepted {
@@ -128,8 +139,8 @@
 	}
 }
 
-// machineListLag is the longest time until the list shows that a machine has gone
-// down.
+// machineListLag is the longest time until the list shows that a machine has joined
+// or gone down.
 const machineListLag = 3 * time.Second
 
 func (c *Cell) cordoned(m tanagerport.Machine) bool {
--- a/tanager/tanagerdispatch/wave_test.go
+++ b/tanager/tanagerdispatch/wave_test.go
@@ -34,7 +34,7 @@
 	h.setWorkers(entries...)
 	h.sync()
 	h.cell.AddWave(h.now, config)
-	h.cell.SetMachines(machines)
+	h.cell.SetMachines(h.now, machines)
 	acceptedAt := map[string]time.Time{}
 	completed := false
 	for range 400 {
@@ -53,7 +53,7 @@
 			}
 		}
 		h.c.Assert(down <= config.MaxUnavailable, qt.IsTrue)
-		h.cell.SetMachines(machines)
+		h.cell.SetMachines(h.now, machines)
 		for _, s := range h.orders.WaveStatus {
 			completed = s.Completed
 			h.c.Assert(!s.Completed || len(acceptedAt) == len(machines), qt.IsTrue)
@@ -82,3 +82,63 @@
 	step.tasks[1].attempt.progressPercent = 40
 	h.c.Assert(h.cell.withinDisruptionBudget(step.tasks[0].attempt), qt.IsFalse)
 }
+
+// A wave of a machine that had joined after the last list was reported as completed
+// at once, and its maintenance was never ordered.
+func TestWaveAwaitsListWithNewMachine(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	list := func(names ...string) []tanagerport.Machine {
+		var machines []tanagerport.Machine
+		for _, name := range names {
+			machines = append(machines, tanagerport.Machine{
+				Name:  name,
+				State: tanagerport.MachineUp,
+			})
+		}
+		return machines
+	}
+	h.cell.SetMachines(h.now, list("old"))
+	h.tick(time.Minute)
+	h.cell.AddWave(h.now, tanagerport.Wave{
+		Number:         2,
+		Machines:       []string{"new"},
+		MaxUnavailable: 1,
+	})
+	h.tick(time.Second)
+	h.c.Assert(h.orders.WaveStatus, qt.DeepEquals, []WaveStatus{{Number: 2}})
+	// The first list of the wave may lag behind.
+	h.cell.SetMachines(h.now, list("old"))
+	h.tick(time.Second)
+	h.c.Assert(h.orders.WaveStatus, qt.HasLen, 0)
+	h.cell.SetMachines(h.now, list("old", "new"))
+	h.tick(time.Second)
+	h.c.Assert(h.orders.Maintenance, qt.HasLen, 1)
+	h.c.Assert(h.orders.Maintenance[0].Machine, qt.Equals, "new")
+	h.cell.HandleMaintenanceResponse(h.now, h.orders.Maintenance[0], true)
+	h.tick(time.Second)
+	h.c.Assert(h.orders.WaveStatus, qt.DeepEquals, []WaveStatus{{
+		Number:    2,
+		Completed: true,
+	}})
+}
+
+// Machines that are gone for good do not keep a wave from completing.
+func TestWaveCompletesWithoutMissingMachines(t *testing.T) {
+	h := newHarness(t, 1)
+	h.cell.AddWave(h.now, tanagerport.Wave{
+		Number:         1,
+		Machines:       []string{"gone"},
+		MaxUnavailable: 1,
+	})
+	for range 20 {
+		h.cell.SetMachines(h.now, nil)
+		for _, s := range h.tick(time.Second).WaveStatus {
+			if s.Completed {
+				return
+			}
+		}
+	}
+	h.c.Fatal("the wave is not reported as completed")
+}
--- a/tanagerd/tanagercell/machine.go
+++ b/tanagerd/tanagercell/machine.go
@@ -37,9 +37,10 @@
 	go func() {
 		machines, err := c.listMachines()
 		c.post(machinesListed{
-			term:     term,
-			machines: machines,
-			err:      err,
+			term:        term,
+			requestedAt: now,
+			machines:    machines,
+			err:         err,
 		})
 	}()
 }
@@ -60,9 +61,11 @@
 }
 
 type machinesListed struct {
-	term     uint64
-	machines []tanagerport.Machine
-	err      error
+	term uint64
+	// requestedAt is when the first page was requested.
+	requestedAt time.Time
+	machines    []tanagerport.Machine
+	err         error
 }
 
 func (e machinesListed) apply(c *control) {
@@ -72,7 +75,7 @@
 		return
 	}
 	if c.isCurrentTerm(e.term) {
-		c.cell.SetMachines(e.machines)
+		c.cell.SetMachines(e.requestedAt, e.machines)
 	}
 }
 
