Split the counting of a wave's machines from its orders

The linter's bound of a function's complexity was exceeded by the previous change. No change of behaviour; the tests of waves pass as before.

--- a/tanager/tanagerdispatch/wave.go
+++ b/tanager/tanagerdispatch/wave.go
@@ -98,9 +98,29 @@
 		c.reportWave(w, false)
 		return
 	}
+	remaining, available := c.countMachines(w)
+	c.reportWave(w, remaining == 0)
+	for _, name := range w.config.Machines {
+		m, listed := c.machines[name]
+		_, accepted := w.acceptedAt[name]
+		if !listed || accepted || w.orderInFlight[name] || m.State != tanagerport.MachineUp {
+			continue
+		}
+		if !c.cordoned(m) {
+			if available <= 0 {
+				continue
+			}
+			available--
+		}
+		c.drainForMaintenance(w, m)
+	}
+}
+
+// countMachines returns the number of a wave's machines whose maintenance has not
+// begun, and how many more of its machines may be made unavailable.
+func (c *Cell) countMachines(w *wave) (remaining, available int) {
 	unlistedAreGone := c.machinesAsOf.Sub(w.addedAt) >= machineListLag
-	available := w.config.MaxUnavailable
-	remaining := 0
+	available = w.config.MaxUnavailable
 	for _, name := range w.config.Machines {
 		m, listed := c.machines[name]
 		if !listed {
@@ -122,21 +142,7 @@
 			available--
 		}
 	}
-	c.reportWave(w, remaining == 0)
-	for _, name := range w.config.Machines {
-		m, listed := c.machines[name]
-		_, accepted := w.acceptedAt[name]
-		if !listed || accepted || w.orderInFlight[name] || m.State != tanagerport.MachineUp {
-			continue
-		}
-		if !c.cordoned(m) {
-			if available <= 0 {
-				continue
-			}
-			available--
-		}
-		c.drainForMaintenance(w, m)
-	}
+	return remaining, available
 }
 
 // machineListLag is the longest time until the list shows that a machine has joined
