Acknowledge no ends to a worker that may have restarted

Cause: ends are acknowledged by number, which starts anew with each incarnation of a worker, and a poll names the id only. After polls without a response the scheduler still sent the number of the former incarnation, and the next one forgot its first ends before it had reported them.

TestAcknowledgementSparesNextIncarnation fails without the condition, after a failed poll and after a pause.

A poll acknowledges only if the last one was answered by the known incarnation at most a second ago. Otherwise the worker reports its ends again, with its incarnation, and the next poll acknowledges them.

--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -74,9 +74,9 @@
 // last poll gets no extended lease, as each extension would postpone the time at
 // which its runs are known to have ended.
 func (c *Cell) buildPoll(w *worker) tanagerport.Poll {
-	p := tanagerport.Poll{
-		Epoch:        c.epoch,
-		Acknowledged: c.advanceAcknowledged(w),
+	p := tanagerport.Poll{Epoch: c.epoch}
+	if acknowledged := c.advanceAcknowledged(w); c.surelySameIncarnation(w) {
+		p.Acknowledged = acknowledged
 	}
 	if w.clock > 0 && w.missedPolls == 0 {
 		p.Deadline = w.extendLease(c.now, c.settings.Lease)
@@ -87,6 +87,14 @@
 	return p
 }
 
+// surelySameIncarnation reports whether a worker cannot have restarted and ended
+// runs since its last response. The numbers of ends start anew with each
+// incarnation, which a poll does not name: an acknowledgement would make the next
+// incarnation forget ends that it has not reported yet.
+func (c *Cell) surelySameIncarnation(w *worker) bool {
+	return w.synced && w.missedPolls == 0 && c.now.Sub(w.lastResponse) <= maxAcknowledgementDelay
+}
+
 // advanceAcknowledged returns the highest number up to which all ends reported by
 // a worker are stored.
 func (c *Cell) advanceAcknowledged(w *worker) int64 {
--- a/tanager/tanagerdispatch/poll_test.go
+++ b/tanager/tanagerdispatch/poll_test.go
@@ -112,3 +112,42 @@
 	}
 	h.c.Assert(polled, qt.IsTrue)
 }
+
+// A worker that restarted under its id forgot its first ends, as a poll acknowledged
+// those of its former incarnation. Their tasks ran again.
+func TestAcknowledgementSparesNextIncarnation(t *testing.T) {
+	for name, unnoticed := range map[string]bool{"polls fail": false, "idle": true} {
+		h := newHarness(t, 1)
+		h.setWorkers(testWorker("a", 1))
+		h.sync()
+		start := h.submit(testRecord("01", testStep(1, 1000)))[0]
+		h.accept(start)
+		h.reportEnds("a", 40, tanagerport.EndedDone, start)
+		h.storeProgress()
+		h.openPolls = nil
+		w := h.cell.workers["a"]
+		w.pollInFlight = false
+		if unnoticed {
+			w.nextPollAt = h.now.Add(2 * maxAcknowledgementDelay)
+			h.tick(2 * maxAcknowledgementDelay)
+		} else {
+			h.tick(minPollInterval)
+			h.c.Assert(h.openPolls, qt.HasLen, 1, qt.Commentf("%s", name))
+			h.c.Check(h.openPolls[0].Poll.Acknowledged, qt.Equals, int64(40))
+			h.failPoll("a")
+			h.tick(pollRetryDelay)
+		}
+		h.c.Assert(h.openPolls, qt.HasLen, 1, qt.Commentf("%s", name))
+		h.c.Check(h.openPolls[0].Poll.Acknowledged, qt.Equals, int64(0), qt.Commentf("%s", name))
+		// The same incarnation reports the end once more, which is acknowledged then.
+		h.respondToPolls(tanagerport.Report{Ended: []tanagerport.EndedRun{{
+			SequenceNumber: 40,
+			Task:           start.Start.Task,
+			Run:            start.Start.Run,
+			Reason:         tanagerport.EndedDone,
+		}}})
+		h.tick(minPollInterval)
+		h.c.Assert(h.openPolls, qt.HasLen, 1, qt.Commentf("%s", name))
+		h.c.Check(h.openPolls[0].Poll.Acknowledged, qt.Equals, int64(40), qt.Commentf("%s", name))
+	}
+}
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -48,6 +48,10 @@
 	// last ended runs to be stored. It covers several writes; with a slower store
 	// the worker is polled anyway, so that further ends are seen.
 	maxProgressWriteWait = 120 * time.Millisecond
+	// maxAcknowledgementDelay bounds the time from the last response of a worker to
+	// a poll that acknowledges its ends. It is below the time in which a worker
+	// restarts and ends a run.
+	maxAcknowledgementDelay = time.Second
 	// pollRetryDelay is multiplied by the number of failed polls in a row, at
 	// most 4, and delays the next poll.
 	pollRetryDelay = 150 * time.Millisecond
