Let the soak accept what the users' pages allow after two crashes

The users' page: "A task under which two minions have crashed may be given up, and its job shown as failed." The check asked for more.

JobMayFail counts the runs of each task that were lost with their workers. TestJobMayFailAfterTwoRestartsUnderOneTask holds the bound.

--- a/soak/tanagersoak/caller.go
+++ b/soak/tanagersoak/caller.go
@@ -213,7 +213,8 @@
 		c.mu.Lock()
 		cancelled := c.cancelled[id]
 		c.mu.Unlock()
-		if state != "completed" && !(state == "cancelled" && cancelled) && !c.site.JobCrashesWorkers(id) {
+		ended := state == "completed" || state == "cancelled" && cancelled || state == "failed" && c.site.JobMayFail(id)
+		if !ended && !c.site.JobCrashesWorkers(id) {
 			unfinished = append(unfinished, strings.TrimSpace(id+" "+state))
 		}
 	}
--- a/tanagerfake/tanagersite/crash_test.go
+++ b/tanagerfake/tanagersite/crash_test.go
@@ -95,3 +95,24 @@
 	c.Check(site.JobCrashesWorkers(crashTestJob), qt.IsTrue)
 	c.Check(site.JobMayFail("0000000000000002"), qt.IsFalse)
 }
+
+// Two workers that restart under a task may be taken for crashed by it; losses of two
+// tasks of a job, once each, may not.
+func TestJobMayFailAfterTwoRestartsUnderOneTask(t *testing.T) {
+	c := qt.New(t)
+	site := newCrashSite(c)
+	defer site.Close()
+	const job = "0000000000000002"
+	for _, tc := range []struct {
+		task string
+		want bool
+	}{
+		{task: job + ".0.0.0", want: false},
+		{task: job + ".0.0.1", want: false},
+		{task: job + ".0.0.0", want: true},
+	} {
+		site.observer.runLost(tc.task, "w000")
+		c.Check(site.JobMayFail(job), qt.Equals, tc.want)
+	}
+	c.Check(site.JobMayFail(crashTestJob), qt.IsFalse)
+}
--- a/tanagerfake/tanagersite/observer.go
+++ b/tanagerfake/tanagersite/observer.go
@@ -24,7 +24,8 @@
 }
 
 const (
-	// A task may be given up once minCrashesToFail workers have crashed under it.
+	// A task may be given up once minCrashesToFail workers have crashed under it,
+	// for whatever cause.
 	minCrashesToFail = 2
 	// A task under which maxCrashes workers have crashed must not be started
 	// maxFurtherStarts times more.
@@ -51,8 +52,11 @@
 	// crashes counts the workers that have crashed under a task, furtherStarts its
 	// starts after maxCrashes of them.
 	crashes, furtherStarts map[string]int
-	violations             []string
-	startCount             int
+	// losses counts the runs of a task that were lost with their workers, also with
+	// workers that another task crashed or that restarted by themselves.
+	losses     map[string]int
+	violations []string
+	startCount int
 }
 
 // capacity is a worker's capacity in thousandths of a core, since a time.
@@ -79,6 +83,7 @@
 
 		crashes:       make(map[string]int),
 		furtherStarts: make(map[string]int),
+		losses:        make(map[string]int),
 	}
 }
 
@@ -238,6 +243,7 @@
 func (o *observer) runLost(task, worker string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.losses[task]++
 	if o.running[task] == worker {
 		delete(o.running, task)
 	}
--- a/tanagerfake/tanagersite/site.go
+++ b/tanagerfake/tanagersite/site.go
@@ -210,12 +210,17 @@
 	return true
 }
 
-// JobMayFail reports whether a job may be shown as failed: one of its tasks has
-// crashed its workers so often that it may be given up.
+// JobMayFail reports whether a job may be shown as failed: so many workers have
+// crashed under one of its tasks that it may be given up.
 func (s *Site) JobMayFail(id string) bool {
 	s.observer.mu.Lock()
 	defer s.observer.mu.Unlock()
-	return s.observer.jobs[id].Crashing && s.observer.crashes[crashingTask(id)] >= minCrashesToFail
+	for task, losses := range s.observer.losses {
+		if job, _ := splitTaskName(task); job == id && losses >= minCrashesToFail {
+			return true
+		}
+	}
+	return false
 }
 
 // JobCrashesWorkers reports whether a job has a task that crashes its workers. Such
