Count unconfirmed crashes once two crashes are confirmed

Two confirmed crashes are what the users' page asks for before a task may be given up, so the former limits hold for all crashes from then on.

TestUnconfirmedCrashesDoNotAddToConfirmedOnes holds both bounds. Measured: the tests of tanagerdispatch, and TestDeadlyTasksAreGivenUp and TestWorkerCrashesFailNoJob of tanagerreplay pass.

--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -31,8 +31,8 @@
 	// maxCrashes is the number of crashes in a row that are attributed to a task
 	// after which the task is given up. maxSoleCrashes is the number that suffices
 	// if the last one can be attributed to no other job, and maxLateCrashes the
-	// number if it was noticed late. maxUnconfirmedCrashes is the number that
-	// suffices if they are not confirmed; the others count confirmed crashes only.
+	// number if it was noticed late or is not confirmed. They require that
+	// maxSoleCrashes are confirmed; otherwise maxUnconfirmedCrashes is the number.
 	maxCrashes            = 3
 	maxSoleCrashes        = 2
 	maxLateCrashes        = 4
@@ -206,16 +206,16 @@
 	if s.spec.LongRunning {
 		return confirmed >= maxCrashes && last == suspectedAlone
 	}
-	if h.count() >= maxUnconfirmedCrashes {
-		return true
+	if confirmed < maxSoleCrashes {
+		return h.count() >= maxUnconfirmedCrashes
 	}
 	switch last {
 	case suspectedAlone:
-		return confirmed >= maxSoleCrashes
+		return true
 	case suspectedWithOthers:
-		return confirmed >= maxCrashes
+		return h.count() >= maxCrashes
 	}
-	return confirmed >= maxLateCrashes
+	return h.count() >= maxLateCrashes
 }
 
 // recordSurvival clears a task of suspicion if a run of it, or all members of its
--- a/tanager/tanagerdispatch/crash_test.go
+++ b/tanager/tanagerdispatch/crash_test.go
@@ -684,7 +684,8 @@
 	}
 }
 
-// Unconfirmed crashes do not help a confirmed one to give a task up.
+// Unconfirmed crashes do not help a single confirmed one to give a task up. With two
+// confirmed ones they count like crashes that were noticed late.
 func TestUnconfirmedCrashesDoNotAddToConfirmedOnes(t *testing.T) {
 	s := &step{spec: &tanagerwork.Step{}}
 	h := &crashHistory{
@@ -694,6 +695,9 @@
 	qt.Check(t, s.crashLimitReached(h, suspectedAlone), qt.IsFalse)
 	h.confirmed.Add(4)
 	qt.Check(t, s.crashLimitReached(h, suspectedAlone), qt.IsTrue)
+	qt.Check(t, s.crashLimitReached(h, suspectedUnconfirmed), qt.IsTrue)
+	h.unconfirmed = h.unconfirmed[:1]
+	qt.Check(t, s.crashLimitReached(h, suspectedUnconfirmed), qt.IsFalse)
 }
 
 // A start that was addressed to a former incarnation, and refused at the address
