--- a/tanager/tanagerdispatch/end.go
+++ b/tanager/tanagerdispatch/end.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"fmt"
 	"time"
 
 	"tanagersail.example/tanager/tanagerport"
@@ -35,22 +36,15 @@
 		return
 	}
 	j := s.job
-	c.logEvent(LogEvent{
-		Name:   "run_ended",
-		Job:    ended.Task.Job,
-		Task:   ended.Task,
-		Run:    ended.Run,
-		Worker: w.id,
-		Reason: string(ended.Reason),
-	})
 	t := &s.tasks[ended.Task.Index]
-	t.lastRun = max(t.lastRun, ended.Run)
-	s.gang.lastRun = max(s.gang.lastRun, ended.Run*btoi(s.spec.Gang))
-	c.recordCheckpoint(s, ended.Task.Index, ended.Checkpoint)
 	current := t.attempt
 	if current != nil && (current.run != ended.Run || current.worker != w) {
 		current = nil
 	}
+	c.logEnd(w, current, ended)
+	t.lastRun = max(t.lastRun, ended.Run)
+	s.gang.lastRun = max(s.gang.lastRun, ended.Run*btoi(s.spec.Gang))
+	c.recordCheckpoint(s, ended.Task.Index, ended.Checkpoint)
 	c.recordEnd(w, current, ended.Reason)
 	if current != nil {
 		c.removeAttempt(current)
@@ -60,6 +54,22 @@
 	c.applyOutcome(s, ended)
 }
 
+// logEnd logs the end of a run, with its age if an attempt stood for it.
+func (c *Cell) logEnd(w *worker, a *attempt, ended tanagerport.EndedRun) {
+	e := LogEvent{
+		Name:   "run_ended",
+		Job:    ended.Task.Job,
+		Task:   ended.Task,
+		Run:    ended.Run,
+		Worker: w.id,
+		Reason: string(ended.Reason),
+	}
+	if a != nil {
+		e.Age = c.now.Sub(a.startSentAt)
+	}
+	c.logEvent(e)
+}
+
 func btoi(b bool) int64 {
 	if b {
 		return 1
@@ -123,6 +133,9 @@
 	if s.activeAttempts == 0 {
 		return
 	}
+	if !s.gang.aborting {
+		c.logAbort(s, reason)
+	}
 	s.gang.aborting = true
 	for i := range s.tasks {
 		if a := s.tasks[i].attempt; a != nil {
@@ -131,6 +144,33 @@
 	}
 }
 
+// logAbort logs that a gang is aborted, with the number of its members that are
+// known to have started and the time since the first was sent its start.
+func (c *Cell) logAbort(s *step, reason string) {
+	started := 0
+	first := c.now
+	for i := range s.tasks {
+		a := s.tasks[i].attempt
+		if a == nil {
+			continue
+		}
+		if !a.startedAt.IsZero() {
+			started++
+		}
+		if a.startSentAt.Before(first) {
+			first = a.startSentAt
+		}
+	}
+	c.logEvent(LogEvent{
+		Name:   "gang_abort",
+		Job:    s.job.record.ID,
+		Task:   tanagerwork.TaskName{StepName: s.name},
+		Run:    s.gang.lastRun,
+		Reason: fmt.Sprintf("%s, %d of %d members started", reason, started, len(s.tasks)),
+		Age:    c.now.Sub(first),
+	})
+}
+
 func (c *Cell) recordCheckpoint(s *step, index int, checkpoint string) {
 	if checkpoint == "" {
 		return
