--- a/tanager/tanagerdispatch/end.go
+++ b/tanager/tanagerdispatch/end.go
@@ -139,7 +139,7 @@
 	s.gang.aborting = true
 	for i := range s.tasks {
 		if a := s.tasks[i].attempt; a != nil {
-			c.stopAttempt(a, reason)
+			c.stopSingly(a, reason)
 		}
 	}
 }
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -240,9 +240,20 @@
 	})
 }
 
-// stopAttempt asks the worker to stop an attempt. The stop is sent again until
-// the worker responds.
+// stopAttempt asks the worker to stop an attempt. With a member of a gang's
+// current run it stops the others, which could only wait for it.
 func (c *Cell) stopAttempt(a *attempt, reason string) {
+	s := a.step
+	if s.spec.Gang && a.run == s.gang.lastRun && !s.gang.aborting && !s.job.state.Final() {
+		c.abortGang(s, reason)
+		return
+	}
+	c.stopSingly(a, reason)
+}
+
+// stopSingly asks the worker to stop an attempt. The stop is sent again until the
+// worker responds.
+func (c *Cell) stopSingly(a *attempt, reason string) {
 	if a.phase == stopping {
 		return
 	}
