--- /dev/null
+++ b/tanager/tanagerdispatch/assembly.go
@@ -0,0 +1,104 @@
+package tanagerdispatch
+
+import (
+	"slices"
+	"time"
+
+	"tanagersail.example/tanager/tanagerport"
+)
+
+// A worker ends the run of a gang's member that has waited for the others for
+// Settings.GangWait. A gang is watched from its first start until it is known to
+// work. One that will not be complete in time is aborted, since its capacity is
+// of use elsewhere and its members would end one by one.
+
+// maxAssemblyFraction is the part of Settings.GangWait after which the members of
+// a gang must be present. The rest is for the stops to arrive.
+const maxAssemblyFraction = 0.5
+
+// assembly is the state of a gang between its first start and its work.
+type assembly struct {
+	// watched is set while the step is in Cell.assembling.
+	watched bool
+	// since is when the first member was started or adopted.
+	since time.Time
+	// working is set once a member has made progress, which takes all members.
+	working bool
+}
+
+// watchAssembly begins to watch a gang with the first attempt of a run.
+func (c *Cell) watchAssembly(s *step, run int64) {
+	if s.activeAttempts == 0 || run > s.gang.lastRun {
+		s.gang.assembly.since = c.now
+		s.gang.assembly.working = false
+	}
+	if !s.gang.assembly.watched {
+		s.gang.assembly.watched = true
+		c.assembling = append(c.assembling, s)
+	}
+}
+
+// showsWork reports whether a reported run has made progress. The first report of
+// a run that resumes from a checkpoint shows the progress up to there.
+func (a *attempt) showsWork(active tanagerport.ActiveRun) bool {
+	resumed := a.step.checkpoint(a.index) != "" && a.progressAt.IsZero()
+	return active.Percent > a.progressPercent && !resumed
+}
+
+// checkAssemblies aborts the gangs that will not be complete in time.
+func (c *Cell) checkAssemblies() {
+	c.assembling = slices.DeleteFunc(c.assembling, func(s *step) bool {
+		s.gang.assembly.watched = c.checkAssembly(s)
+		return !s.gang.assembly.watched
+	})
+}
+
+// checkAssembly aborts a gang that will not be complete in time, and reports
+// whether to watch it further.
+func (c *Cell) checkAssembly(s *step) bool {
+	g := &s.gang
+	if s.activeAttempts == 0 || g.aborting || s.unfinishedTasks == 0 || s.job.state.Final() {
+		return false
+	}
+	if !s.hasAllMembers() && c.predecessorRunsKnown(s.job) {
+		// No worker runs the missing members, and none will.
+		c.abortGang(s, "members missing")
+		return false
+	}
+	if g.assembly.working {
+		return !s.hasAllMembers()
+	}
+	waited := c.now.Sub(g.assembly.since)
+	if s.allPresent() {
+		return waited < c.settings.GangWait
+	}
+	if waited < time.Duration(maxAssemblyFraction*float64(c.settings.GangWait)) {
+		return true
+	}
+	c.abortGang(s, "members not present in time")
+	return false
+}
+
+// hasAllMembers reports whether each member of a gang has an attempt of the
+// current run.
+func (s *step) hasAllMembers() bool {
+	for i := range s.tasks {
+		if a := s.tasks[i].attempt; a == nil || a.run != s.gang.lastRun {
+			return false
+		}
+	}
+	return true
+}
+
+// allPresent reports whether all members of a gang are known to be on their
+// workers.
+func (s *step) allPresent() bool {
+	for i := range s.tasks {
+		a := s.tasks[i].attempt
+		if a == nil || a.run != s.gang.lastRun || a.phase != running ||
+			a.incarnation != a.worker.incarnation || !a.worker.synced || a.worker.missedPolls > 0 {
+			return false
+		}
+	}
+	return true
+}
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -40,6 +40,8 @@
 	// done.
 	readySteps []*step
 	expired    expiredTurns
+	// assembling are the gangs that have started and are not known to work yet.
+	assembling []*step
 	// capacityVersion is incremented whenever a step that did not fit may fit
 	// again. Such a step is not tried before that.
 	capacityVersion uint64
@@ -328,6 +330,7 @@
 	if c.now.Sub(c.attemptsScannedAt) >= attemptScanInterval {
 		c.attemptsScannedAt = c.now
 		c.updateIdlePollPause()
+		c.checkAssemblies()
 		c.stopStalledAttempts()
 		c.resendStops()
 		c.adjustThrottling()
--- a/tanager/tanagerdispatch/doc.go
+++ b/tanager/tanagerdispatch/doc.go
@@ -17,6 +17,7 @@
 //   - place.go: placement of single tasks of different sizes on workers of
 //     different speeds.
 //   - gang.go, reserve.go: gang scheduling, reservations and backfilling.
+//   - assembly.go: aborting gangs whose members do not all come in time.
 //   - admission.go: admission control. The waiting work and the observed starts
 //     are reported to package tanageradmission, which decides which jobs are
 //     rejected and after which time to retry.
@@ -37,6 +38,8 @@
 // reports the end, when a worker that has accepted a stop no longer shows the
 // run, when the worker has been replaced by another incarnation, or when the
 // worker's lease has certainly expired. Its capacity stays allocated until then.
+// The members of a gang's run are stopped together: when one of them is stopped,
+// ends early or does not come in time.
 // Orders carry the scheduler's epoch as a fencing token, which workers check.
 // Ends are acknowledged only after the caller has confirmed that the progress
 // that contains them is stored.
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -90,6 +90,7 @@
 	availability availability
 	// aborting is set while the members of a failed run are being stopped.
 	aborting bool
+	assembly assembly
 }
 
 // task is the state of one task of a step.
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -107,6 +107,9 @@
 	if a.startedAt.IsZero() {
 		a.startedAt = c.now
 	}
+	if a.step.spec.Gang && a.showsWork(active) {
+		a.step.gang.assembly.working = true
+	}
 	if active.Percent != a.progressPercent || a.progressAt.IsZero() {
 		a.progressPercent = active.Percent
 		a.progressAt = c.now
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -26,6 +26,7 @@
 	t.attempt = a
 	t.lastRun = max(t.lastRun, run)
 	if s.spec.Gang {
+		c.watchAssembly(s, run)
 		s.gang.lastRun = max(s.gang.lastRun, run)
 	}
 	s.activeAttempts++
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -9,6 +9,8 @@
 	Lease time.Duration
 	// StopGrace is how long a worker may take to stop a run.
 	StopGrace time.Duration
+	// GangWait is how long a worker lets a member of a gang wait for the others.
+	GangWait time.Duration
 	// Retention is how long the state of an ended job is kept.
 	Retention time.Duration
 	// RemoteFactor is the factor by which a task takes longer on a worker outside
--- a/tanager/tanagerdispatch/worker_test.go
+++ b/tanager/tanagerdispatch/worker_test.go
@@ -34,6 +34,7 @@
 	return Settings{
 		Lease:        5 * time.Second,
 		StopGrace:    900 * time.Millisecond,
+		GangWait:     3 * time.Second,
 		Retention:    time.Minute,
 		RemoteFactor: 1.5,
 	}
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -142,6 +142,7 @@
 		Dispatch: tanagerdispatch.Settings{
 			Lease:        min(workerLeaseTTL, s.Work.MaxLease()),
 			StopGrace:    s.Work.StopGrace(),
+			GangWait:     s.Work.GangWait(),
 			Retention:    s.Work.Retention(),
 			RemoteFactor: s.Work.RemoteFactor,
 		},
--- a/tanagerd/tanagersettings/member.go
+++ b/tanagerd/tanagersettings/member.go
@@ -61,6 +61,9 @@
 	MaxLeaseMS float64 `yaml:"longest_lease_ms"`
 	// StopGraceMS is the time that a worker may take to stop a task.
 	StopGraceMS float64 `yaml:"stop_grace_ms"`
+	// GangWaitMS is the time for which a worker lets a task of a gang wait for the
+	// others. The default is 3000.
+	GangWaitMS float64 `yaml:"gang_wait_ms"`
 	// RetentionS is the time for which the state of an ended job is kept.
 	RetentionS float64 `yaml:"retention_s"`
 	// RemoteFactor is the factor by which a task takes longer outside the rack of
@@ -74,9 +77,16 @@
 // StopGrace returns the time that a worker may take to stop a task.
 func (w MemberWork) StopGrace() time.Duration { return durationFromMS(w.StopGraceMS) }
 
+// GangWait returns the time for which a worker lets a task of a gang wait for the
+// others.
+func (w MemberWork) GangWait() time.Duration { return durationFromMS(w.GangWaitMS) }
+
 // Retention returns the time for which the state of an ended job is kept.
 func (w MemberWork) Retention() time.Duration { return durationFromMS(w.RetentionS * 1000) }
 
+// defaultGangWaitMS is the default of MemberWork.GangWaitMS.
+const defaultGangWaitMS = 3000
+
 func durationFromMS(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // LoadMember reads and validates the settings file of a member. The type of its
@@ -94,6 +104,7 @@
 func ParseMember(content []byte) (MemberSettings, error) {
 	m := MemberSettings{
 		Work: MemberWork{
+			GangWaitMS:   defaultGangWaitMS,
 			RemoteFactor: 1,
 		},
 		Log: Log{
@@ -132,6 +143,7 @@
 		"limits.stop_seconds":   m.Limits.StopSeconds,
 		"work.longest_lease_ms": m.Work.MaxLeaseMS,
 		"work.stop_grace_ms":    m.Work.StopGraceMS,
+		"work.gang_wait_ms":     m.Work.GangWaitMS,
 		"work.retention_s":      m.Work.RetentionS,
 		"work.remote_factor":    m.Work.RemoteFactor,
 	}
