--- a/tanager/tanagerdispatch/assembly.go
+++ b/tanager/tanagerdispatch/assembly.go
@@ -24,6 +24,15 @@
 	since time.Time
 	// working is set once a member has made progress, which takes all members.
 	working bool
+	// endedRun is the highest run of which a member has ended before its work was
+	// done, so that the other members have no use.
+	endedRun int64
+}
+
+// adoptable reports whether a run of a member that a predecessor started is of
+// use.
+func (g *gangState) adoptable(run int64) bool {
+	return run >= g.lastRun && run > g.assembly.endedRun && !g.aborting
 }
 
 // watchAssembly begins to watch a gang with the first attempt of a run.
--- a/tanager/tanagerdispatch/assembly_test.go
+++ b/tanager/tanagerdispatch/assembly_test.go
@@ -81,6 +81,20 @@
 	}
 }
 
+// Guards against adopting a member of a run that another member has ended.
+func TestMemberOfEndedGangRunIsNotAdopted(t *testing.T) {
+	h, polls := newGangSuccessor(t)
+	ended := memberRun(1, 0)
+	h.respondToPoll(polls["b"], tanagerport.Report{Ended: []tanagerport.EndedRun{{
+		SequenceNumber: 1,
+		Task:           ended.Task,
+		Run:            ended.Run,
+		Reason:         tanagerport.EndedStopped,
+	}}})
+	h.respondToPoll(polls["a"], tanagerport.Report{Running: []tanagerport.ActiveRun{memberRun(0, 0)}})
+	h.c.Assert(stoppedTasks(h.cell.TakeOrders().Stops), qt.DeepEquals, map[int]bool{0: true})
+}
+
 // Guards against members that wait alone for one whose worker has become silent, or
 // whose start is still without a result when the workers are about to end them.
 func TestGangIsStoppedIfAMemberDoesNotComeInTime(t *testing.T) {
--- a/tanager/tanagerdispatch/end.go
+++ b/tanager/tanagerdispatch/end.go
@@ -84,8 +84,8 @@
 	case tanagerport.EndedFailed:
 		c.applyFailed(s, ended)
 	default:
-		if s.spec.Gang && ended.Run == s.gang.lastRun {
-			c.abortGang(s, "gang member ended: "+string(ended.Reason))
+		if s.spec.Gang {
+			c.endGangRun(s, ended, "gang member ended: "+string(ended.Reason))
 		}
 	}
 }
@@ -119,15 +119,22 @@
 	failures := &s.tasks[ended.Task.Index].failures
 	if s.spec.Gang {
 		failures = &s.gang.failures
-		if ended.Run == s.gang.lastRun {
-			c.abortGang(s, "gang member failed")
-		}
+		c.endGangRun(s, ended, "gang member failed")
 	}
 	if failures.Add(ended.Run) && !s.spec.LongRunning && len(*failures) >= s.job.queue.maxAttempts() {
 		c.finishJob(s.job, tanagerwork.Failed, "a task has failed max_attempts times")
 	}
 }
 
+// endGangRun records that a member of a gang's run has ended before its work was
+// done, and stops the others.
+func (c *Cell) endGangRun(s *step, ended tanagerport.EndedRun, reason string) {
+	s.gang.assembly.endedRun = max(s.gang.assembly.endedRun, ended.Run)
+	if ended.Run == s.gang.lastRun {
+		c.abortGang(s, reason)
+	}
+}
+
 // abortGang stops all members of a gang's current run.
 func (c *Cell) abortGang(s *step, reason string) {
 	if s.activeAttempts == 0 {
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -120,14 +120,15 @@
 
 // adopt creates an attempt for a run that a predecessor started. It returns nil
 // if the run is not wanted: its task is not known, is done or has an attempt, its
-// job has ended, or its gang is being aborted or has a later run.
+// job has ended, or its gang is being aborted, has a later run or has lost another
+// member of this one.
 func (c *Cell) adopt(w *worker, active tanagerport.ActiveRun) *attempt {
 	s := c.findStep(active.Task)
 	if s == nil || s.job.state.Final() {
 		return nil
 	}
 	t := &s.tasks[active.Task.Index]
-	if t.done || t.attempt != nil || s.spec.Gang && (active.Run < s.gang.lastRun || s.gang.aborting) {
+	if t.done || t.attempt != nil || s.spec.Gang && !s.gang.adoptable(active.Run) {
 		return nil
 	}
 	a := c.newAttempt(s, active.Task.Index, active.Run, w)
