--- a/tanager/tanagerdispatch/assembly.go
+++ b/tanager/tanagerdispatch/assembly.go
@@ -111,3 +111,16 @@
 	}
 	return true
 }
+
+// AbortIncompleteGangs stops the members of all gangs that are not known to be
+// complete. A scheduler that hands over must call it and send the orders: its
+// successor does not know of starts that are on their way, and the members would
+// wait for them.
+func (c *Cell) AbortIncompleteGangs(now time.Time) {
+	c.now = now
+	for _, s := range c.assembling {
+		if !s.gang.assembly.working && !s.gang.aborting && s.unfinishedTasks > 0 && !s.allPresent() {
+			c.abortGang(s, "scheduler hands over")
+		}
+	}
+}
--- a/tanager/tanagerdispatch/assembly_test.go
+++ b/tanager/tanagerdispatch/assembly_test.go
@@ -146,3 +146,24 @@
 		})
 	}
 }
+
+// Guards against members that a scheduler leaves waiting when it hands over.
+func TestIncompleteGangsAreStoppedBeforeHandover(t *testing.T) {
+	for name, tc := range map[string]struct {
+		accepted bool
+		stopped  map[int]bool
+	}{
+		"start in flight": {stopped: map[int]bool{0: true, 1: true}},
+		"complete":        {accepted: true, stopped: map[int]bool{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, 1)
+			second := startPair(h)
+			if tc.accepted {
+				h.accept(second)
+			}
+			h.cell.AbortIncompleteGangs(h.now)
+			h.c.Assert(stoppedTasks(h.cell.TakeOrders().Stops), qt.DeepEquals, tc.stopped)
+		})
+	}
+}
--- a/tanager/tanagerdispatch/doc.go
+++ b/tanager/tanagerdispatch/doc.go
@@ -39,7 +39,7 @@
 // run, when the worker has been replaced by another incarnation, or when the
 // worker's lease has certainly expired. Its capacity stays allocated until then.
 // The members of a gang's run are stopped together: when one of them is stopped,
-// ends early or does not come in time.
+// ends early or does not come in time, and before the scheduler hands over.
 // Orders carry the scheduler's epoch as a fencing token, which workers check.
 // Ends are acknowledged only after the caller has confirmed that the progress
 // that contains them is stored.
--- a/tanagerd/tanagercell/election.go
+++ b/tanagerd/tanagercell/election.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"tanagersail.example/tanager/tanagerdispatch"
 	"tanagersail.example/tanager/tanagerport"
 )
 
@@ -115,6 +116,7 @@
 // stepDown ends this daemon's term and discards the cell.
 func (c *control) stepDown(reason string) {
 	c.log.Warn().Str("event", "scheduler_stop").Str("reason", reason).Uint64("epoch", c.leader.epoch).Send()
+	c.stopIncompleteGangs(c.timer.Now())
 	c.cell = nil
 	c.loading = false
 	c.deferred = nil
@@ -123,6 +125,20 @@
 	}
 }
 
+// stopIncompleteGangs sends the last orders of a term. Workers that have seen the
+// successor's epoch refuse them.
+func (c *control) stopIncompleteGangs(now time.Time) {
+	if c.cell == nil {
+		return
+	}
+	c.cell.AbortIncompleteGangs(now)
+	orders := c.cell.TakeOrders()
+	c.execute(tanagerdispatch.Orders{
+		Stops:  orders.Stops,
+		Events: orders.Events,
+	})
+}
+
 type leaderUpdate struct {
 	page     tanagerport.Page
 	snapshot bool
--- a/tanagerd/tanagercell/handover_test.go
+++ b/tanagerd/tanagercell/handover_test.go
@@ -11,8 +11,10 @@
 	"github.com/ThreeDotsLabs/watermill/message"
 	qt "github.com/frankban/quicktest"
 
+	"tanagersail.example/tanager/tanagerdispatch"
 	"tanagersail.example/tanager/tanagerpeer"
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
 )
 
 // leaseStore is a scriptedStore that grants leases.
@@ -246,3 +248,95 @@
 	scheduler.maybeHandOver(scheduler.timer.Now())
 	qt.Assert(t, scheduler.cell, qt.IsNotNil)
 }
+
+// stopRecorder is a Workers that responds to no start and records the stops.
+type stopRecorder struct {
+	Workers
+	stops chan tanagerport.Stop
+}
+
+func (r stopRecorder) Start(context.Context, tanagerport.WorkerRef, tanagerport.Start) (tanagerport.Response, error) {
+	return tanagerport.Response{}, tanagerport.OutcomeUnknown.New("start")
+}
+
+func (r stopRecorder) Poll(context.Context, tanagerport.WorkerRef, tanagerport.Poll) (tanagerport.Report, error) {
+	return tanagerport.Report{}, tanagerport.OutcomeUnknown.New("poll")
+}
+
+func (r stopRecorder) Stop(_ context.Context, _ tanagerport.WorkerRef, s tanagerport.Stop) (tanagerport.Response, error) {
+	r.stops <- s
+	return tanagerport.Response{Status: tanagerport.Accepted}, nil
+}
+
+// Guards against members of a gang that wait for others whose starts are lost with
+// the term of their scheduler.
+func TestSchedulerStopsIncompleteGangsAtTheEndOfItsTerm(t *testing.T) {
+	for name, end := range map[string]func(c *control){
+		"handed over":     func(c *control) { c.stepDown("handed over to another daemon") },
+		"successor known": func(c *control) { c.applyLeaderItem(epochItem(2, 20)) },
+		"resigned":        func(c *control) { resignFinished{done: make(chan struct{})}.apply(c) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := qt.New(t)
+			c := newTestControl(t)
+			stops := make(chan tanagerport.Stop, 2)
+			c.ports.Workers = stopRecorder{stops: stops}
+			c.settings.Dispatch = tanagerdispatch.Settings{
+				Lease:    3 * time.Second,
+				GangWait: 3 * time.Second,
+			}
+			c.becomeScheduler(1)
+			now := c.timer.Now()
+			c.cell.Configure(tanagerport.Configuration{Queues: []tanagerport.Queue{{
+				Name:        "q",
+				Service:     "s",
+				MaxAttempts: 1,
+			}}})
+			worker := tanagerport.WorkerEntry{
+				ID:          "w",
+				Service:     "s",
+				Incarnation: 1,
+				Capacity:    tanagerwork.Resources{MilliCPU: 1000},
+			}
+			c.cell.SetWorkers(now, []tanagerport.WorkerEntry{worker})
+			c.cell.RosterStored(c.cell.Roster())
+			c.cell.Tick(now)
+			for _, o := range c.cell.TakeOrders().Polls {
+				c.cell.HandlePollResponse(now, o, now, tanagerport.Report{
+					Response:    tanagerport.Response{Status: tanagerport.Accepted},
+					Incarnation: 1,
+					Complete:    true,
+				}, nil)
+			}
+			c.cell.AddJob(now, tanagerwork.Record{
+				ID:      "0000000000000001",
+				Queue:   "q",
+				Service: "s",
+				Epoch:   1,
+				Arrived: now,
+				Spec: tanagerwork.Spec{Steps: []tanagerwork.Step{{
+					TaskCount: 2,
+					Gang:      true,
+					Estimate:  time.Second,
+					Resources: tanagerwork.Resources{MilliCPU: 100},
+				}}},
+			}, nil)
+			c.cell.Tick(now)
+			starts := c.cell.TakeOrders().Starts
+			q.Assert(starts, qt.HasLen, 2)
+			c.cell.HandleStartResponse(now, starts[0], tanagerport.Response{Status: tanagerport.Accepted}, nil)
+			end(c)
+			q.Assert(c.cell, qt.IsNil)
+			stopped := make(map[int]bool)
+			for range starts {
+				select {
+				case s := <-stops:
+					stopped[s.Task.Index] = true
+				case <-time.After(testTimeout):
+					t.Fatal("a member was not stopped")
+				}
+			}
+			q.Assert(stopped, qt.DeepEquals, map[int]bool{0: true, 1: true})
+		})
+	}
+}
