--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -99,6 +99,8 @@
 	// longestTick is the longest time that a tick of the cell took since the last
 	// summary.
 	longestTick time.Duration
+	// lastUsage is what the Go runtime used at the last summary.
+	lastUsage runtimeUsage
 
 	// exitedScheduler is the member name of a scheduler whose process has
 	// exited although its key may still be in the store.
@@ -220,6 +222,7 @@
 	c.lastSummary = now
 	load := c.cell.Load()
 	counters := c.cell.Counters()
+	usage := readRuntimeUsage()
 	c.log.Info().Str("event", "cell_load").Uint64("epoch", c.leader.epoch).
 		Int("workers", load.Workers).Int64("capacity_cpu", load.Capacity).Int64("used_cpu", load.Used).
 		Int("lasting", load.LongRunningSteps).Int("on_time", load.OnTimeSteps).
@@ -231,8 +234,11 @@
 		Int64("advice_calls", counters.AdviceCalls).Int64("notes_dropped", counters.EventsDropped).
 		Dur("longest_gap_ms", c.longestStepGap).Dur("longest_tick_ms", c.longestTick).
 		Int("queues", load.Queues).Int("hint_bytes", c.hintBytes).Int("untried", load.UntriedSteps).
+		Float64("gc_share", usage.gcShareSince(c.lastUsage)).Uint64("heap_mb", usage.heapMB).
+		Uint64("runtime_mb", usage.totalMB).Uint64("goroutines", usage.goroutines).
 		Int("unwritten", load.UnwrittenJobs).Int("writes_in_flight", c.writer.progressInFlight).Send()
 	c.longestStepGap, c.longestTick = 0, 0
+	c.lastUsage = usage
 }
 
 // maintainMembership renews the lease or campaigns, and sends heartbeats.
