--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -234,7 +234,7 @@
 		Int64("advice_calls", counters.AdviceCalls).Int64("notes_dropped", counters.EventsDropped).
 		Dur("longest_gap_ms", c.longestStepGap).Dur("longest_tick_ms", c.longestTick).
 		Int("queues", load.Queues).Int("hint_bytes", c.hintBytes).Int("untried", load.UntriedSteps).
-		Float64("gc_share", usage.gcShareSince(c.lastUsage)).Uint64("heap_mb", usage.heapMB).
+		Dur("gc_ms", usage.gcTime-c.lastUsage.gcTime).Uint64("heap_mb", usage.heapMB).
 		Uint64("runtime_mb", usage.totalMB).Uint64("goroutines", usage.goroutines).
 		Int("unwritten", load.UnwrittenJobs).Int("writes_in_flight", c.writer.progressInFlight).Send()
 	c.longestStepGap, c.longestTick = 0, 0
