--- a/tanager/tanagerdispatch/advice.go
+++ b/tanager/tanagerdispatch/advice.go
@@ -315,7 +315,7 @@
 		return
 	}
 	s := j.step(order.Step.Occurrence, order.Step.Step)
-	if s == nil {
+	if s == nil || s.unfinishedTasks == 0 || j.state.Final() {
 		return
 	}
 	s.advice.callDeadline = time.Time{}
--- a/tanager/tanagerdispatch/advice_test.go
+++ b/tanager/tanagerdispatch/advice_test.go
@@ -55,3 +55,45 @@
 	h.sync()
 	h.c.Assert(h.runWithAdvice(time.Second), qt.HasLen, 1)
 }
+
+// Guards against a scheduler that runs short of memory, and then of processor time,
+// as it keeps the advice of ended steps for as long as their jobs' states.
+func TestEndedStepsKeepNoAdvice(t *testing.T) {
+	for name, tc := range map[string]struct {
+		end func(h *harness, start StartOrder)
+	}{
+		"done": {end: func(h *harness, start StartOrder) {
+			h.reportEnds("a", 1, tanagerport.EndedDone, start)
+		}},
+		"cancelled": {end: func(h *harness, start StartOrder) {
+			h.cell.CancelJob(start.Start.Task.Job)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newBatchHarness(t, &tanagerport.AdvicePolicy{TicketTTL: time.Second})
+			h.setWorkers(testWorker("a", 1))
+			h.cell.SetAdvisers([]string{"d1", "d2"})
+			h.sync()
+			h.cell.AddJob(h.now, testRecord("01", testStep(1, 1000)), nil)
+			call := h.tick(15 * time.Millisecond).Advice
+			h.c.Assert(call, qt.HasLen, 1)
+			answer := func() {
+				h.cell.HandleAdviceResponse(h.now, call[0], h.now, tanagerport.Advice{
+					Tickets: map[string]string{"a": "ticket"},
+					Valid:   time.Second,
+				}, nil)
+			}
+			answer()
+			s := h.cell.jobs["0000000000000001"].steps[0]
+			h.c.Assert(s.advice.tickets, qt.HasLen, 1)
+			starts := h.tick(15 * time.Millisecond).Starts
+			h.c.Assert(starts, qt.HasLen, 1)
+			h.accept(starts[0])
+			tc.end(h, starts[0])
+			answer()
+			h.c.Check(s.advice.tickets, qt.IsNil)
+			h.c.Check(s.advice.queried, qt.IsNil)
+			h.c.Check(s.advice.approved, qt.IsNil)
+		})
+	}
+}
--- a/tanager/tanagerdispatch/end.go
+++ b/tanager/tanagerdispatch/end.go
@@ -21,6 +21,9 @@
 	if s.attemptsByWorker[a.worker]--; s.attemptsByWorker[a.worker] <= 0 {
 		delete(s.attemptsByWorker, a.worker)
 	}
+	if s.activeAttempts == 0 {
+		s.attemptsByWorker = nil
+	}
 	a.worker.deallocate(a)
 	c.capacityVersion++
 	if !t.done {
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -298,6 +298,7 @@
 		return
 	}
 	s.job.unfinishedSteps--
+	s.advice = adviceState{}
 	for _, d := range s.dependents {
 		d.unmetDependencies--
 		c.enqueue(d)
@@ -329,6 +330,9 @@
 		Reason: reason,
 		Age:    c.now.Sub(j.record.Arrived),
 	})
+	for _, s := range j.steps {
+		s.advice = adviceState{}
+	}
 	if state == tanagerwork.Completed {
 		// The remaining runs are members of gangs that are ending by themselves.
 		return
