--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -24,10 +24,35 @@
 	// rosterRevision is the last known revision of the roster's key.
 	rosterRevision int64
 	rosterInFlight bool
+	// intakeRevision is the store's revision from which the intake was read at the
+	// takeover. removals holds, by key, the revisions at which this scheduler has
+	// removed jobs, until a later state of the intake has been read.
+	intakeRevision int64
+	removals       map[string]int64
 }
 
 func newStoreWriter() *storeWriter {
-	return &storeWriter{revisions: make(map[tanagerwork.JobID]int64)}
+	return &storeWriter{
+		revisions: make(map[tanagerwork.JobID]int64),
+		removals:  make(map[string]int64),
+	}
+}
+
+// predatesRemoval reports whether an item of the intake is known to have been read
+// before its key was removed, or was in the store at the takeover. The pages of a
+// listing may arrive after later removals, and a removed job must not run again.
+func (w *storeWriter) predatesRemoval(item tanagerport.Item) bool {
+	return item.Revision <= w.intakeRevision || item.Revision < w.removals[item.Key]
+}
+
+// forgetRemovals forgets the removals that precede a revision from which the
+// intake has been read.
+func (w *storeWriter) forgetRemovals(revision int64) {
+	for key, removed := range w.removals {
+		if removed <= revision {
+			delete(w.removals, key)
+		}
+	}
 }
 
 // writeProgress sends the progress that has not been written yet.
@@ -218,11 +243,12 @@
 	}
 	term := c.term
 	go func() {
-		_, _, err := c.ports.Store.Commit(ctx, t)
+		revision, _, err := c.ports.Store.Commit(ctx, t)
 		c.post(jobsRemoved{
-			term: term,
-			ids:  ids,
-			err:  err,
+			term:     term,
+			ids:      ids,
+			revision: revision,
+			err:      err,
 		})
 	}()
 }
@@ -238,7 +264,9 @@
 type jobsRemoved struct {
 	term uint64
 	ids  []tanagerwork.JobID
-	err  error
+	// revision is the store's revision after the removal.
+	revision int64
+	err      error
 }
 
 func (e jobsRemoved) apply(c *control) {
@@ -252,5 +280,7 @@
 	for _, id := range e.ids {
 		c.cell.RemoveJob(id)
 		delete(c.writer.revisions, id)
+		c.writer.removals[jobPrefix+string(id)] = e.revision
+		c.writer.removals[cancelPrefix+string(id)] = e.revision
 	}
 }
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -18,6 +18,8 @@
 	cancelled      []tanagerwork.JobID
 	roster         []string
 	rosterRevision int64
+	// intakeRevision is the store's revision from which the intake was read.
+	intakeRevision int64
 	// workers is the listing of the workers' entries.
 	workers tanagerport.Page
 }
@@ -73,6 +75,7 @@
 			return nil, err
 		}
 	}
+	state.intakeRevision = pages[0].Revision
 	state.workers = pages[len(pages)-1]
 	for _, page := range pages[:len(pages)-1] {
 		for _, item := range page.Items {
@@ -129,6 +132,7 @@
 	}.apply(c)
 	c.writer.revisions = e.state.revisions
 	c.writer.rosterRevision = e.state.rosterRevision
+	c.writer.intakeRevision = e.state.intakeRevision
 	if c.configuration != nil {
 		c.cell.Configure(*c.configuration)
 	}
@@ -201,12 +205,16 @@
 type intakeUpdate struct{ page tanagerport.Page }
 
 func (e intakeUpdate) apply(c *control) {
-	if c.cell == nil {
+	switch {
+	case c.cell == nil:
+		return
+	case c.loading:
+		c.deferred = append(c.deferred, e)
 		return
 	}
 	var state storedState
 	for _, item := range e.page.Items {
-		if item.Deleted {
+		if item.Deleted || c.writer.predatesRemoval(item) {
 			continue
 		}
 		if err := state.addItem(item); err != nil {
@@ -219,4 +227,5 @@
 	for _, id := range state.cancelled {
 		cancelAdded{id: id}.apply(c)
 	}
+	c.writer.forgetRemovals(e.page.Revision)
 }
