--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -207,18 +207,43 @@
 // createOccurrences creates the steps of the occurrences that are due within
 // occurrenceLeadTime.
 func (c *Cell) createOccurrences(now time.Time, j *job) {
+	for j.hasFutureOccurrence() && !j.nextDue().After(now.Add(occurrenceLeadTime)) {
+		c.createNextOccurrence(j)
+	}
+}
+
+// createOccurrencesThrough creates the steps of the occurrences up to one that a
+// scheduler has started, according to the store or to a worker. Its time may not
+// have come by the clock of this daemon.
+func (c *Cell) createOccurrencesThrough(j *job, occurrence int) {
+	for j.hasFutureOccurrence() && j.nextOccurrence <= occurrence &&
+		!j.nextDue().After(c.now.Add(maxClockDifference)) {
+		c.createNextOccurrence(j)
+	}
+}
+
+// maxClockDifference bounds how far the time of day of two daemons may differ.
+const maxClockDifference = 10 * time.Second
+
+func (j *job) hasFutureOccurrence() bool { return j.nextOccurrence < j.record.Spec.Occurrences() }
+
+// nextDue returns the earliest start of the next occurrence to be created. A job
+// without occurrences is due on arrival.
+func (j *job) nextDue() time.Time {
 	spec := &j.record.Spec
-	for j.nextOccurrence < spec.Occurrences() {
-		due := j.record.Arrived
-		if spec.Times > 0 {
-			due = spec.FirstDue.Add(time.Duration(j.nextOccurrence) * spec.Interval)
-			if due.After(now.Add(occurrenceLeadTime)) {
-				return
-			}
-		}
-		c.createOccurrence(j, j.nextOccurrence, due)
-		j.nextOccurrence++
+	if spec.Times == 0 {
+		return time.Time{}
+	}
+	return spec.FirstDue.Add(time.Duration(j.nextOccurrence) * spec.Interval)
+}
+
+func (c *Cell) createNextOccurrence(j *job) {
+	due := j.nextDue()
+	if due.IsZero() {
+		due = j.record.Arrived
 	}
+	c.createOccurrence(j, j.nextOccurrence, due)
+	j.nextOccurrence++
 }
 
 // occurrenceLeadTime is how long before it is due the steps of an occurrence are
@@ -307,7 +332,7 @@
 }
 
 func (c *Cell) checkCompleted(j *job) {
-	if j.state.Final() || j.unfinishedSteps > 0 || j.nextOccurrence < j.record.Spec.Occurrences() {
+	if j.state.Final() || j.unfinishedSteps > 0 || j.hasFutureOccurrence() {
 		return
 	}
 	c.finishJob(j, tanagerwork.Completed, "all tasks done")
@@ -413,7 +438,7 @@
 func (c *Cell) jobsWithFutureOccurrences() []*job {
 	var found []*job
 	for _, j := range c.openJobs {
-		if j.nextOccurrence < j.record.Spec.Occurrences() {
+		if j.hasFutureOccurrence() {
 			found = append(found, j)
 		}
 	}
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -10,6 +10,7 @@
 // restore applies the stored progress of a job.
 func (c *Cell) restore(j *job, p *tanagerwork.Progress) {
 	for _, sp := range p.Steps {
+		c.createOccurrencesThrough(j, sp.Occurrence)
 		s := j.step(sp.Occurrence, sp.Step)
 		if s == nil {
 			continue
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -91,6 +91,7 @@
 	if j == nil {
 		return nil
 	}
+	c.createOccurrencesThrough(j, name.Occurrence)
 	s := j.step(name.Occurrence, name.Step)
 	if s == nil || !s.hasTask(name.Index) {
 		return nil
