--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -49,7 +49,9 @@
 	// have not reported yet, with the time at which their leases have expired at
 	// the latest.
 	predecessorLeases map[string]time.Time
-	advisers          []*adviser
+	// earlyEnds are the ends of jobs that are not known yet.
+	earlyEnds map[tanagerwork.JobID][]*earlyEnd
+	advisers  []*adviser
 	// estimateInflation is the moving average of the ratio of a task's duration
 	// to its estimate.
 	estimateInflation float64
@@ -86,6 +88,7 @@
 		workers:           make(map[string]*worker),
 		capacityVersion:   1,
 		predecessorLeases: make(map[string]time.Time),
+		earlyEnds:         make(map[tanagerwork.JobID][]*earlyEnd),
 		estimateInflation: 1,
 		waves:             make(map[int]*wave),
 		admission:         tanageradmission.New(),
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -175,6 +175,7 @@
 	j.queue.updateMeanMaxWait(expiryFactor*j.objective - record.Spec.CriticalPath())
 	c.jobs[record.ID] = j
 	j.queue.jobCount++
+	defer c.applyEarlyEnds(j)
 	if progress != nil && progress.State.Final() {
 		j.state = progress.State
 		j.endedAt = now
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -10,11 +10,13 @@
 )
 
 // pendingAck is a reported end that may be acknowledged to its worker once the
-// job's progress is stored with at least progressVersion.
+// job's progress is stored with at least progressVersion. The job of an early end
+// is nil until it is added.
 type pendingAck struct {
 	sequenceNumber  int64
 	job             *job
 	progressVersion int64
+	early           *earlyEnd
 }
 
 // pollWorkers issues the polls that are due. It bounds the first polls in flight:
@@ -61,7 +63,12 @@
 }
 
 // stored reports whether the progress that contains the end is in the store.
-func (p pendingAck) stored() bool { return p.job.storedVersion >= p.progressVersion }
+func (p pendingAck) stored() bool {
+	if p.job == nil {
+		return p.early.released
+	}
+	return p.job.storedVersion >= p.progressVersion
+}
 
 // hasUnstoredEnds reports whether a worker has reported ends that are not yet in
 // the store.
@@ -211,13 +218,16 @@
 			continue
 		}
 		w.lastAppliedEnd = ended.SequenceNumber
-		c.handleEnd(w, ended)
-		if j := c.jobs[ended.Task.Job]; j != nil {
-			w.pendingAcks = append(w.pendingAcks, pendingAck{
-				sequenceNumber:  ended.SequenceNumber,
-				job:             j,
-				progressVersion: j.progressVersion,
-			})
+		j := c.jobs[ended.Task.Job]
+		if j == nil {
+			c.holdEarlyEnd(w, ended)
+			continue
 		}
+		c.handleEnd(w, ended)
+		w.pendingAcks = append(w.pendingAcks, pendingAck{
+			sequenceNumber:  ended.SequenceNumber,
+			job:             j,
+			progressVersion: j.progressVersion,
+		})
 	}
 }
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -156,7 +156,7 @@
 		return errorx.Decorate(err, "subscribe")
 	}
 	c.log.Info().Str("event", "daemon_start").Str("member", c.member).Send()
-	onCallFinished := func(err error) { c.post(storeCallFinished{err: err}) }
+	onCallFinished := func(_ time.Time, err error) { c.post(storeCallFinished{err: err}) }
 	watchers := []*watcher{
 		{
 			prefix:   leaderPrefix,
@@ -169,6 +169,7 @@
 	}
 	for _, w := range watchers {
 		w.store = c.ports.Store
+		w.timer = c.timer
 		w.onCallFinished = onCallFinished
 		go w.run(c.ctx)
 	}
@@ -190,19 +191,23 @@
 		ctx, cancel := context.WithCancel(c.ctx)
 		// The watchers that every daemon runs already report whether the store
 		// responds.
-		ignore := func(error) {}
+		ignore := func(time.Time, error) {}
 		workers := &watcher{
 			store:          c.ports.Store,
+			timer:          c.timer,
 			prefix:         c.ports.Decoder.WorkerPrefix(),
 			onChange:       func(p tanagerport.Page, snapshot bool) { c.post(workerUpdate{page: p, snapshot: snapshot}) },
 			onCallFinished: ignore,
 		}
 		intake := &watcher{
-			store:          c.ports.Store,
-			prefix:         intakePrefix,
-			watchDelay:     intakeWatchDelay,
-			onChange:       func(p tanagerport.Page, _ bool) { c.post(intakeUpdate{page: p}) },
-			onCallFinished: ignore,
+			store:      c.ports.Store,
+			timer:      c.timer,
+			prefix:     intakePrefix,
+			watchDelay: intakeWatchDelay,
+			onChange:   func(p tanagerport.Page, _ bool) { c.post(intakeUpdate{page: p}) },
+			onCallFinished: func(seenUntil time.Time, _ error) {
+				c.post(intakeRead{seenUntil: seenUntil})
+			},
 		}
 		go workers.run(ctx)
 		go intake.run(ctx)
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"sync"
+	"time"
 
 	"tanagersail.example/tanager/tanagerdispatch"
 	"tanagersail.example/tanager/tanagerport"
@@ -200,6 +201,16 @@
 	}
 }
 
+// intakeRead reports that all jobs that were accepted before a time have been
+// applied, since a watch or a listing that began then has been.
+type intakeRead struct{ seenUntil time.Time }
+
+func (e intakeRead) apply(c *control) {
+	if c.cell != nil && !c.loading {
+		c.cell.JobsKnown(e.seenUntil)
+	}
+}
+
 // intakeUpdate applies the intake keys that a watch returned. It makes up for
 // lost messages about jobs and cancellations.
 type intakeUpdate struct{ page tanagerport.Page }
--- a/tanagerd/tanagercell/watcher.go
+++ b/tanagerd/tanagercell/watcher.go
@@ -7,19 +7,23 @@
 	"github.com/joomcode/errorx"
 
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagertimer"
 )
 
 // watcher reports the keys under a prefix and their changes.
 type watcher struct {
 	store  Store
+	timer  tanagertimer.Service
 	prefix string
 	// watchDelay separates two watches.
 	watchDelay time.Duration
 	// onChange receives items and deletions; snapshot is set if the page holds
 	// all keys under the prefix.
 	onChange func(page tanagerport.Page, snapshot bool)
-	// onCallFinished receives the error of each call, nil on success.
-	onCallFinished func(err error)
+	// onCallFinished receives the error of each call, nil if the store has responded,
+	// and a time: all changes before it have been passed to onChange. The time is
+	// zero if the call has passed on nothing.
+	onCallFinished func(seenUntil time.Time, err error)
 }
 
 // run watches the prefix until the context ends. If the store has compacted the
@@ -31,12 +35,16 @@
 	timeout := watchTimeout
 	for ctx.Err() == nil {
 		var err error
+		startedAt := w.timer.Now()
 		if revision < 0 {
 			revision, err = w.readAll(ctx)
 		} else {
 			revision, err = w.watch(ctx, revision, timeout)
 		}
-		w.onCallFinished(err)
+		if err != nil || revision < 0 {
+			startedAt = time.Time{}
+		}
+		w.onCallFinished(startedAt, err)
 		timeout = watchTimeout
 		if err != nil {
 			timeout = recoveryWatchTimeout
--- a/tanagerd/tanagercell/watcher_test.go
+++ b/tanagerd/tanagercell/watcher_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagertimer"
 )
 
 // outageStore fails a number of watches. Later ones end without a change when
@@ -44,8 +45,9 @@
 	w := &watcher{
 		store:    store,
 		prefix:   "p/",
+		timer:    tanagertimer.NewReal(),
 		onChange: func(tanagerport.Page, bool) {},
-		onCallFinished: func(err error) {
+		onCallFinished: func(_ time.Time, err error) {
 			results = append(results, err == nil)
 			if len(results) == 5 {
 				cancel()
@@ -58,3 +60,43 @@
 		watchTimeout, recoveryWatchTimeout, recoveryWatchTimeout, recoveryWatchTimeout,
 	})
 }
+
+// compactedStore has lost the history after its first listing.
+type compactedStore struct {
+	unresponsiveStore
+	lists int
+}
+
+func (s *compactedStore) List(context.Context, string, string) (tanagerport.Page, error) {
+	s.lists++
+	return tanagerport.Page{Revision: int64(s.lists)}, nil
+}
+
+func (s *compactedStore) Watch(_ context.Context, _ string, after int64, _ time.Duration) (tanagerport.Page, error) {
+	if after == 1 {
+		return tanagerport.Page{}, tanagerport.Compacted.New("watch")
+	}
+	return tanagerport.Page{Revision: after}, nil
+}
+
+// Guards against taking changes for seen that a watch without a history has not
+// passed on.
+func TestWatchWithoutHistoryHasSeenNothing(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	var seen []bool
+	w := &watcher{
+		store:    &compactedStore{},
+		timer:    tanagertimer.NewReal(),
+		prefix:   "p/",
+		onChange: func(tanagerport.Page, bool) {},
+		onCallFinished: func(seenUntil time.Time, _ error) {
+			seen = append(seen, !seenUntil.IsZero())
+			if len(seen) == 4 {
+				cancel()
+			}
+		},
+	}
+	w.run(ctx)
+	qt.Assert(t, seen, qt.DeepEquals, []bool{true, false, true, true})
+}
