--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -32,6 +32,9 @@
 	// dirty is set while the job is in Cell.dirtyJobs.
 	dirty   bool
 	endedAt time.Time
+	// shownSince is when the final state was stored, from when on it is reported to
+	// callers.
+	shownSince time.Time
 }
 
 // step is the state of one step in one occurrence of its job.
@@ -179,6 +182,7 @@
 	if progress != nil && progress.State.Final() {
 		j.state = progress.State
 		j.endedAt = now
+		j.shownSince = now
 		return true
 	}
 	c.openJobs = append(c.openJobs, j)
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -126,6 +126,9 @@
 	if ok {
 		j.storedVersion = max(j.storedVersion, version)
 	}
+	if j.shownSince.IsZero() && j.state.Final() && j.storedVersion >= j.progressVersion {
+		j.shownSince = c.now
+	}
 	if j.storingVersion == version {
 		j.storingVersion = 0
 	}
@@ -207,8 +210,8 @@
 		if len(out) == limit {
 			break
 		}
-		if j.state.Final() && j.storedVersion >= j.progressVersion && now.Sub(j.endedAt) > c.settings.Retention &&
-			!j.hasActiveAttempts() {
+		if j.state.Final() && j.storedVersion >= j.progressVersion &&
+			now.Sub(j.shownSince) > c.settings.Retention && !j.hasActiveAttempts() {
 			out = append(out, id)
 		}
 	}
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -11,7 +11,8 @@
 	StopGrace time.Duration
 	// GangWait is how long a worker lets a member of a gang wait for the others.
 	GangWait time.Duration
-	// Retention is how long the state of an ended job is kept.
+	// Retention is how long the state of an ended job is kept after it could first
+	// be reported.
 	Retention time.Duration
 	// RemoteFactor is the factor by which a task takes longer on a worker outside
 	// the rack of its data.
