--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -36,8 +36,10 @@
 
 const (
 	// softMemoryFraction of the configured memory is the soft limit at which
-	// the garbage collector runs more often.
-	softMemoryFraction = 0.35
+	// the garbage collector runs more often. It includes the buffers and stacks of
+	// all connections that the descriptors allow: a process at its soft limit has
+	// little processor time left for its work.
+	softMemoryFraction = 0.6
 	// gcPercent allows the heap, a small part of the memory limit, to grow by
 	// this percentage before a collection, because CPU time is scarcer than
 	// memory.
@@ -82,7 +84,7 @@
 	log := newLog(os.Stdout)
 	log.Info().Str("event", "start").Str("daemon", settings.Daemon.Name).Str("settings", path).Send()
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(int64(softMemoryFraction * float64(settings.Limits.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(softMemoryLimit(settings.Limits.MemoryMB))
 	meter, err := tanagermeter.New()
 	if err != nil {
 		return err
@@ -103,6 +105,10 @@
 	return waitForShutdown(path, daemon, servers, failed, log)
 }
 
+// softMemoryLimit returns the soft memory limit, in bytes, of a process with the
+// given memory in MiB.
+func softMemoryLimit(memoryMB int64) int64 { return int64(softMemoryFraction * float64(memoryMB<<20)) }
+
 func newMember(s tanagersettings.MemberSettings, meter *tanagermeter.Meter,
 	log zerolog.Logger) (*tanagercell.Daemon, error) {
 	timeouts := tanagerplatform.Timeouts{
