--- a/tanager/tanagerdispatch/assembly.go
+++ b/tanager/tanagerdispatch/assembly.go
@@ -50,8 +50,11 @@
 // showsWork reports whether a reported run has made progress. The first report of
 // a run that resumes from a checkpoint shows the progress up to there.
 func (a *attempt) showsWork(active tanagerport.ActiveRun) bool {
-	resumed := a.step.checkpoint(a.index) != "" && a.progressAt.IsZero()
-	return active.Percent > a.progressPercent && !resumed
+	resumedFrom := a.step.checkpoint(a.index)
+	if active.Checkpoint != "" && active.Checkpoint != resumedFrom {
+		return true
+	}
+	return active.Percent > a.progressPercent && (resumedFrom == "" || !a.progressAt.IsZero())
 }
 
 // checkAssemblies aborts the gangs that will not be complete in time.
@@ -69,10 +72,17 @@
 	if s.activeAttempts == 0 || g.aborting || s.unfinishedTasks == 0 || s.job.state.Final() {
 		return false
 	}
-	if !s.hasAllMembers() && c.predecessorRunsKnown(s.job) {
-		// No worker runs the missing members, and none will.
-		c.abortGang(s, "members missing")
-		return false
+	if !s.hasAllMembers() {
+		if c.predecessorRunsKnown(s.job) {
+			// No worker runs the missing members, and none will.
+			c.abortGang(s, "members missing")
+			return false
+		}
+		if !g.assembly.working && c.predecessorWorkersPolled() {
+			// How long the members have waited under the predecessor is not known.
+			c.abortGang(s, "members not found")
+			return false
+		}
 	}
 	if g.assembly.working {
 		return !s.hasAllMembers()
@@ -88,6 +98,17 @@
 	return false
 }
 
+// predecessorWorkersPolled reports whether each worker on which a predecessor may
+// have started tasks has responded to a poll, or has failed to.
+func (c *Cell) predecessorWorkersPolled() bool {
+	for id := range c.predecessorLeases {
+		if w := c.workers[id]; w != nil && w.missedPolls == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // hasAllMembers reports whether each member of a gang has an attempt of the
 // current run.
 func (s *step) hasAllMembers() bool {
--- a/tanager/tanagerdispatch/assembly_test.go
+++ b/tanager/tanagerdispatch/assembly_test.go
@@ -69,7 +69,7 @@
 			h.respondToPoll(polls["a"], report)
 			h.cell.HandlePollResponse(h.now, polls["b"], h.now, tanagerport.Report{}, noResponse)
 			stopped := make(map[int]bool)
-			for d := time.Duration(0); d < testSettings().GangWait*3/4; d += attemptScanInterval {
+			for d := time.Duration(0); d < testSettings().GangWait/8; d += attemptScanInterval {
 				for index := range stoppedTasks(h.tick(attemptScanInterval).Stops) {
 					stopped[index] = true
 				}
--- a/tanager/tanagerreplay/fault.go
+++ b/tanager/tanagerreplay/fault.go
@@ -196,6 +196,7 @@
 	for _, run := range w.runs {
 		j := s.jobs[run.order.Start.Task.Job]
 		delete(j.active, run.order.Start.Task)
+		run.leaveGang()
 	}
 	clear(w.runs)
 	w.order = nil
--- a/tanager/tanagerreplay/pattern_test.go
+++ b/tanager/tanagerreplay/pattern_test.go
@@ -74,6 +74,12 @@
 	}
 }
 
+// Guards against members of gangs that wait alone for others that will not come,
+// when workers are lost and return in a flood.
+func TestNoMemberWaitsAloneWhenWorkersReturn(t *testing.T) {
+	playPattern(t, "third_returns_after_flood")
+}
+
 // minGangsOnTime is the share of the gangs that must be on time while another
 // kind floods: a kind that does not flood keeps half of its service.
 const minGangsOnTime = 0.5
--- a/tanager/tanagerreplay/replay_test.go
+++ b/tanager/tanagerreplay/replay_test.go
@@ -32,6 +32,7 @@
 	c := qt.New(t)
 	c.Check(r.OvercommittedStarts, qt.Equals, 0)
 	c.Check(r.DuplicateRuns, qt.Equals, 0)
+	c.Check(r.GangTimeouts, qt.Equals, 0)
 }
 
 // TestLightLoadMeetsObjectives checks that every job completes on time at 0.7 of
--- a/tanager/tanagerreplay/report.go
+++ b/tanager/tanagerreplay/report.go
@@ -55,6 +55,8 @@
 	// DuplicateRuns counts starts of a task that was running, or whose end had
 	// reached the scheduler.
 	DuplicateRuns int
+	// GangTimeouts counts members of gangs that waited gangWait for the others.
+	GangTimeouts int
 	// WorkerCrashes counts the workers that crashing tasks have crashed,
 	// MaxCrashesByTask those that one task has crashed.
 	WorkerCrashes, MaxCrashesByTask int
--- a/tanager/tanagerreplay/schedulers.go
+++ b/tanager/tanagerreplay/schedulers.go
@@ -53,7 +53,7 @@
 	s.Cell = tanagerdispatch.New(tanagerdispatch.Settings{
 		Lease:        5 * time.Second,
 		StopGrace:    900 * time.Millisecond,
-		GangWait:     3 * time.Second,
+		GangWait:     gangWait,
 		Retention:    2 * time.Minute,
 		RemoteFactor: 1.5,
 	}, s.epoch, now)
--- a/tanager/tanagerreplay/simulation.go
+++ b/tanager/tanagerreplay/simulation.go
@@ -39,6 +39,8 @@
 	tickInterval = 15 * time.Millisecond
 	// workerRoundTrip is the network round-trip time of a call to a worker.
 	workerRoundTrip = 3 * time.Millisecond
+	// gangWait is how long a member of a gang waits for the others.
+	gangWait = 3 * time.Second
 	// drainPeriod is how long the scheduler still runs after the end of the load.
 	drainPeriod = 60 * time.Second
 )
--- a/tanager/tanagerreplay/worker.go
+++ b/tanager/tanagerreplay/worker.go
@@ -91,6 +91,7 @@
 	g.runs = append(g.runs, run)
 	g.started++
 	if g.started < g.size {
+		s.schedule(s.now.Add(gangWait), func() { s.endWait(run) })
 		return
 	}
 	longest := time.Duration(0)
@@ -102,6 +103,25 @@
 	}
 }
 
+// leaveGang removes a run that ends before its gang has begun to work.
+func (r *simRun) leaveGang() {
+	if r.gang == nil || r.duration > 0 {
+		return
+	}
+	r.gang.started--
+	r.gang.runs = slices.DeleteFunc(r.gang.runs, func(o *simRun) bool { return o == r })
+}
+
+// endWait ends a member of a gang that still waits for the others.
+func (s *simulation) endWait(run *simRun) {
+	w := s.workers[run.order.Worker.ID]
+	if run.duration > 0 || w.runs[run.order.Start.Task] != run {
+		return
+	}
+	s.report.GangTimeouts++
+	s.endRun(w, run, tanagerport.EndedGangTimeout)
+}
+
 // percentDone returns the progress of a run.
 func (r *simRun) percentDone(now time.Time) int {
 	if r.duration == 0 {
@@ -148,6 +168,7 @@
 	t := run.order.Start.Task
 	j := s.jobs[t.Job]
 	spec := &run.job.record.Spec.Steps[t.Step]
+	run.leaveGang()
 	delete(w.runs, t)
 	w.order = slices.DeleteFunc(w.order, func(name tanagerwork.TaskName) bool { return name == t })
 	delete(j.active, t)
