--- a/tanager/tanagerdispatch/assembly.go
+++ b/tanager/tanagerdispatch/assembly.go
@@ -7,10 +7,14 @@
 	"tanagersail.example/tanager/tanagerport"
 )
 
-// A worker ends the run of a gang's member that has waited for the others for
-// Settings.GangWait. A gang is watched from its first start until it is known to
-// work. One that will not be complete in time is aborted, since its capacity is
-// of use elsewhere and its members would end one by one.
+// A gang works only from the moment at which all its members are on their workers.
+// A worker ends a member that has waited for the others for Settings.GangWait. The
+// cell watches a gang from its first start until it is known to work, and aborts it
+// if it will not be complete in time: its capacity is of use elsewhere, and its
+// members would end one by one.
+//
+// A member is present if its worker has accepted the start or reported the run, is
+// the same incarnation and has responded to the last poll.
 
 // maxAssemblyFraction is the part of Settings.GangWait after which the members of
 // a gang must be present. The rest is for the stops to arrive.
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -232,8 +232,8 @@
 
 func (j *job) hasFutureOccurrence() bool { return j.nextOccurrence < j.record.Spec.Occurrences() }
 
-// nextDue returns the earliest start of the next occurrence to be created. A job
-// without occurrences is due on arrival.
+// nextDue returns the earliest start of the next occurrence to be created. It is
+// zero for a job that is not recurring, which is due whatever the time of day.
 func (j *job) nextDue() time.Time {
 	spec := &j.record.Spec
 	if spec.Times == 0 {
