--- a/tanager/tanagerdispatch/assembly.go
+++ b/tanager/tanagerdispatch/assembly.go
@@ -39,8 +39,12 @@
 	return run >= g.lastRun && run > g.assembly.endedRun && !g.aborting
 }
 
-// watchAssembly begins to watch a gang with the first attempt of a run.
+// watchAssembly begins to watch a gang with the first attempt of a run. A gang of
+// one waits for nobody.
 func (c *Cell) watchAssembly(s *step, run int64) {
+	if len(s.tasks) == 1 {
+		return
+	}
 	if s.activeAttempts == 0 || run > s.gang.lastRun {
 		s.gang.assembly.since = c.now
 		s.gang.assembly.working = false
--- a/tanager/tanagerdispatch/assembly_test.go
+++ b/tanager/tanagerdispatch/assembly_test.go
@@ -147,6 +147,21 @@
 	}
 }
 
+// Guards against stopping the only member of a gang on a worker that is cut off for
+// a moment: it waits for nobody.
+func TestGangOfOneIsNotStoppedOnSilentWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	starts := h.submit(testRecord("01", gangStep(1, 3000)))
+	h.c.Assert(starts, qt.HasLen, 1)
+	h.accept(starts[0])
+	for d := time.Duration(0); d < testSettings().GangWait; d += attemptScanInterval {
+		h.c.Assert(h.tick(attemptScanInterval).Stops, qt.HasLen, 0)
+		h.failPoll("a")
+	}
+}
+
 // Guards against members that a scheduler leaves waiting when it hands over.
 func TestIncompleteGangsAreStoppedBeforeHandover(t *testing.T) {
 	for name, tc := range map[string]struct {
