--- a/tanager/tanagerdispatch/bench_test.go
+++ b/tanager/tanagerdispatch/bench_test.go
@@ -92,3 +92,133 @@
 	}
 	b.ReportMetric(float64(c.Counters().Starts)/float64(i), "starts/tick")
 }
+
+// backlogRecord returns the i-th job of a backlog. None fits on a worker with a
+// single free core. Of ten jobs eight are single tasks, one is a task that requires a
+// label that no worker has, and one is a gang of four.
+func backlogRecord(i int, now time.Time) tanagerwork.Record {
+	step := testStep(1, 2000)
+	switch i % 10 {
+	case 8:
+		step.Label = "none"
+	case 9:
+		step = gangStep(4, 2000)
+	}
+	return tanagerwork.Record{
+		ID:      tanagerwork.JobID(fmt.Sprintf("%016x", 1<<40+i)),
+		Queue:   testQueue,
+		Service: testService,
+		Epoch:   1,
+		Arrived: now,
+		Spec:    tanagerwork.Spec{Steps: []tanagerwork.Step{step}},
+	}
+}
+
+// BenchmarkTickBacklog measures the end of one run, with the tick that follows it and
+// starts another, in a cell whose workers are full.
+func BenchmarkTickBacklog(b *testing.B) {
+	for _, size := range []struct {
+		workers, waiting int
+	}{
+		{
+			workers: 350,
+			waiting: 1000,
+		},
+		{
+			workers: 350,
+			waiting: 10_000,
+		},
+		{
+			workers: 350,
+			waiting: 100_000,
+		},
+		{
+			workers: benchWorkers,
+			waiting: 1000,
+		},
+	} {
+		b.Run(fmt.Sprintf("%d_workers/%d_waiting", size.workers, size.waiting), func(b *testing.B) {
+			benchmarkBacklog(b, size.workers, size.waiting)
+		})
+	}
+}
+
+func benchmarkBacklog(b *testing.B, workers, waiting int) {
+	now := time.Unix(1_700_000_000, 0)
+	c := New(testSettings(), 1, now)
+	c.Configure(tanagerport.Configuration{Queues: []tanagerport.Queue{{
+		Name:        testQueue,
+		Service:     testService,
+		MaxAttempts: 3,
+		Stretch:     4,
+		Slack:       3 * time.Second,
+	}}})
+	var entries []tanagerport.WorkerEntry
+	for i := range workers {
+		entries = append(entries, testWorker(fmt.Sprintf("w%05d", i), 1))
+	}
+	c.SetWorkers(now, entries)
+	c.RosterStored(c.Roster())
+	numbers := make(map[string]int64)
+	respond := func(o PollOrder, ended ...tanagerport.EndedRun) {
+		c.HandlePollResponse(now, o, now, tanagerport.Report{
+			Response: tanagerport.Response{
+				Status: tanagerport.Accepted,
+				Clock:  time.Hour + now.Sub(time.Unix(1_700_000_000, 0)),
+			},
+			Incarnation: 1,
+			Ended:       ended,
+		}, nil)
+	}
+	// tick advances the cell and responds to its polls at once.
+	tick := func() []StartOrder {
+		now = now.Add(benchTick)
+		c.Tick(now)
+		orders := c.TakeOrders()
+		for _, o := range orders.Polls {
+			respond(o)
+		}
+		for _, s := range c.TakeSnapshots(1000) {
+			c.SnapshotWritten(s.Job, s.Version, true)
+		}
+		return orders.Starts
+	}
+	submit := func(i int) {
+		r := backlogRecord(0, now)
+		r.ID = tanagerwork.JobID(fmt.Sprintf("%016x", i))
+		r.Spec.Steps[0].Resources.MilliCPU = 3000
+		c.AddJob(now, r, nil)
+	}
+	for range workers/maxFirstPolls + 2 {
+		tick()
+	}
+	var running []StartOrder
+	for i := range workers {
+		submit(i)
+	}
+	for len(running) < workers {
+		running = append(running, tick()...)
+	}
+	for i := range waiting {
+		c.AddJob(now, backlogRecord(i, now), nil)
+	}
+	next := workers
+	b.ReportAllocs()
+	for b.Loop() {
+		submit(next)
+		next++
+		o := running[0]
+		running = running[1:]
+		numbers[o.Worker.ID]++
+		respond(PollOrder{Worker: o.Worker}, tanagerport.EndedRun{
+			SequenceNumber: numbers[o.Worker.ID],
+			Task:           o.Start.Task,
+			Run:            o.Start.Run,
+			Reason:         tanagerport.EndedDone,
+		})
+		running = append(running, tick()...)
+		if len(running) == 0 {
+			b.Fatal("nothing runs")
+		}
+	}
+}
