--- a/tanagerd/main.go
+++ b/tanagerd/main.go
@@ -6,7 +6,7 @@
 //
 //	tanagerd run --settings tanagerd.yaml
 //	tanagerd check-settings tanagerd.yaml
-//	tanagerd cell --settings member.yaml
+//	tanagerd cell --settings member.yaml [--gang-wait 3s]
 //	tanagerd check-cell-settings member.yaml
 //
 // On SIGTERM or SIGINT the daemon shuts down gracefully: it reports that it is
@@ -30,6 +30,8 @@
 	runPath := run.Flag("settings", "Settings file.").Required().ExistingFile()
 	cell := app.Command("cell", "Run a member of a cell that schedules jobs, until SIGTERM.")
 	cellPath := cell.Flag("settings", "Settings file of the member.").Required().ExistingFile()
+	gangWait := cell.Flag("gang-wait", "How long a worker lets a task of a gang wait for the others. "+
+		"Overrides work.gang_wait_ms of the settings.").Duration()
 	checkCell := app.Command("check-cell-settings", "Check a member's settings file and report its errors.")
 	checkCellPath := checkCell.Arg("file", "Settings file.").Required().String()
 	check := app.Command("check-settings", "Check a settings file and report its errors.")
@@ -40,7 +42,7 @@
 		exitOnError(err)
 		exitOnError(serve(settings))
 	case cell.FullCommand():
-		exitOnError(tanagerboot.Serve(*cellPath))
+		exitOnError(tanagerboot.Serve(*cellPath, *gangWait))
 	case checkCell.FullCommand():
 		_, err := tanagersettings.LoadMember(*checkCellPath)
 		exitOnError(err)
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	if err := tanagerboot.Serve("member.yaml"); err != nil {
+//	if err := tanagerboot.Serve("member.yaml", 0); err != nil {
 //		// the process could not start, or a listener failed
 //	}
 package tanagerboot
@@ -76,11 +76,20 @@
 // Serve runs a member of a cell with the settings in the file at path until
 // SIGTERM or SIGINT. It returns an error if the process cannot start or a
 // listener fails.
-func Serve(path string) error {
+//
+// A gangWait other than 0 overrides the setting of how long a worker lets a task of
+// a gang wait for the others.
+func Serve(path string, gangWait time.Duration) error {
 	settings, err := tanagersettings.LoadMember(path)
 	if err != nil {
 		return err
 	}
+	if gangWait < 0 {
+		return tanagersettings.OutOfRange.New("the gang wait must not be negative, it is %v", gangWait)
+	}
+	if gangWait > 0 {
+		settings.Work.GangWaitMS = gangWait.Seconds() * 1000
+	}
 	log := newLog(os.Stdout)
 	log.Info().Str("event", "start").Str("daemon", settings.Daemon.Name).Str("settings", path).Send()
 	debug.SetGCPercent(gcPercent)
