--- a/tanager/tanagerdispatch/bench_test.go
+++ b/tanager/tanagerdispatch/bench_test.go
@@ -143,9 +143,21 @@
 	}
 }
 
-func benchmarkBacklog(b *testing.B, workers, waiting int) {
-	now := time.Unix(1_700_000_000, 0)
-	c := New(testSettings(), 1, now)
+// backlogCell is a cell whose workers respond to polls at once.
+type backlogCell struct {
+	*Cell
+	now time.Time
+	// numbers counts the ends on each worker.
+	numbers map[string]int64
+}
+
+func newBacklogCell(workers int) *backlogCell {
+	start := time.Unix(1_700_000_000, 0)
+	c := &backlogCell{
+		Cell:    New(testSettings(), 1, start),
+		now:     start,
+		numbers: make(map[string]int64),
+	}
 	c.Configure(tanagerport.Configuration{Queues: []tanagerport.Queue{{
 		Name:        testQueue,
 		Service:     testService,
@@ -157,66 +169,76 @@
 	for i := range workers {
 		entries = append(entries, testWorker(fmt.Sprintf("w%05d", i), 1))
 	}
-	c.SetWorkers(now, entries)
+	c.SetWorkers(start, entries)
 	c.RosterStored(c.Roster())
-	numbers := make(map[string]int64)
-	respond := func(o PollOrder, ended ...tanagerport.EndedRun) {
-		c.HandlePollResponse(now, o, now, tanagerport.Report{
-			Response: tanagerport.Response{
-				Status: tanagerport.Accepted,
-				Clock:  time.Hour + now.Sub(time.Unix(1_700_000_000, 0)),
-			},
-			Incarnation: 1,
-			Ended:       ended,
-		}, nil)
-	}
-	// tick advances the cell and responds to its polls at once.
-	tick := func() []StartOrder {
-		now = now.Add(benchTick)
-		c.Tick(now)
-		orders := c.TakeOrders()
-		for _, o := range orders.Polls {
-			respond(o)
-		}
-		for _, s := range c.TakeSnapshots(1000) {
-			c.SnapshotWritten(s.Job, s.Version, true)
-		}
-		return orders.Starts
+	for range workers/maxFirstPolls + 2 {
+		c.tick()
 	}
-	submit := func(i int) {
-		r := backlogRecord(0, now)
-		r.ID = tanagerwork.JobID(fmt.Sprintf("%016x", i))
-		r.Spec.Steps[0].Resources.MilliCPU = 3000
-		c.AddJob(now, r, nil)
+	return c
+}
+
+func (c *backlogCell) respond(o PollOrder, ended ...tanagerport.EndedRun) {
+	c.HandlePollResponse(c.now, o, c.now, tanagerport.Report{
+		Response: tanagerport.Response{
+			Status: tanagerport.Accepted,
+			Clock:  time.Hour + c.now.Sub(time.Unix(1_700_000_000, 0)),
+		},
+		Incarnation: 1,
+		Ended:       ended,
+	}, nil)
+}
+
+func (c *backlogCell) tick() []StartOrder {
+	c.now = c.now.Add(benchTick)
+	c.Tick(c.now)
+	orders := c.TakeOrders()
+	for _, o := range orders.Polls {
+		c.respond(o)
 	}
-	for range workers/maxFirstPolls + 2 {
-		tick()
+	for _, s := range c.TakeSnapshots(1000) {
+		c.SnapshotWritten(s.Job, s.Version, true)
 	}
-	var running []StartOrder
+	return orders.Starts
+}
+
+// fill adds the i-th job of those that leave a worker with a single free core.
+func (c *backlogCell) fill(i int) {
+	r := backlogRecord(0, c.now)
+	r.ID = tanagerwork.JobID(fmt.Sprintf("%016x", i))
+	r.Spec.Steps[0].Resources.MilliCPU = 3000
+	c.AddJob(c.now, r, nil)
+}
+
+// end reports the end of a run.
+func (c *backlogCell) end(o StartOrder) {
+	c.numbers[o.Worker.ID]++
+	c.respond(PollOrder{Worker: o.Worker}, tanagerport.EndedRun{
+		SequenceNumber: c.numbers[o.Worker.ID],
+		Task:           o.Start.Task,
+		Run:            o.Start.Run,
+		Reason:         tanagerport.EndedDone,
+	})
+}
+
+func benchmarkBacklog(b *testing.B, workers, waiting int) {
+	c := newBacklogCell(workers)
 	for i := range workers {
-		submit(i)
+		c.fill(i)
 	}
+	var running []StartOrder
 	for len(running) < workers {
-		running = append(running, tick()...)
+		running = append(running, c.tick()...)
 	}
 	for i := range waiting {
-		c.AddJob(now, backlogRecord(i, now), nil)
+		c.AddJob(c.now, backlogRecord(i, c.now), nil)
 	}
 	next := workers
 	b.ReportAllocs()
 	for b.Loop() {
-		submit(next)
+		c.fill(next)
 		next++
-		o := running[0]
-		running = running[1:]
-		numbers[o.Worker.ID]++
-		respond(PollOrder{Worker: o.Worker}, tanagerport.EndedRun{
-			SequenceNumber: numbers[o.Worker.ID],
-			Task:           o.Start.Task,
-			Run:            o.Start.Run,
-			Reason:         tanagerport.EndedDone,
-		})
-		running = append(running, tick()...)
+		c.end(running[0])
+		running = append(running[1:], c.tick()...)
 		if len(running) == 0 {
 			b.Fatal("nothing runs")
 		}
