Log what a takeover reads, final states as stored, and the numbers of ends

The hypotheses on the second starts could not be told apart: a takeover showed only the number of jobs, an end neither its number nor the incarnation that reported it, and nothing when a final state was stored. takeover_read gives for each prefix the items and revisions, takeover_done the jobs with progress and those that had ended, state_stored the revision of each final state, run_ended the number and the incarnation, cell_load the age of the scheduler's lease. No decision changes.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -149,7 +149,10 @@
 	Task   tanagerwork.TaskName
 	Run    int64
 	Worker string
-	Reason string
+	// Incarnation is that of the worker, for what it has reported, and
+	// SequenceNumber the number of a reported end.
+	Incarnation, SequenceNumber int64
+	Reason                      string
 	// Forecast is the wait that was forecast for a new job.
 	Forecast time.Duration
 	// Age is the age of the information behind the decision, the time since the
--- a/tanager/tanagerdispatch/early.go
+++ b/tanager/tanagerdispatch/early.go
@@ -42,6 +42,9 @@
 		Run:    ended.Run,
 		Worker: w.id,
 		Reason: string(ended.Reason),
+
+		Incarnation:    w.incarnation,
+		SequenceNumber: ended.SequenceNumber,
 	})
 }
 
--- a/tanager/tanagerdispatch/end.go
+++ b/tanager/tanagerdispatch/end.go
@@ -66,6 +66,9 @@
 		Run:    ended.Run,
 		Worker: w.id,
 		Reason: string(ended.Reason),
+
+		Incarnation:    w.incarnation,
+		SequenceNumber: ended.SequenceNumber,
 	}
 	if a != nil {
 		e.Age = c.now.Sub(a.startSentAt)
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -43,6 +43,8 @@
 		Worker: w.id,
 		Reason: reason,
 		Age:    c.now.Sub(w.lastResponse),
+
+		Incarnation: incarnation,
 	})
 	w.incarnation = incarnation
 	w.synced = false
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -207,8 +207,9 @@
 	c.capacityVersion++
 	delete(c.predecessorLeases, w.id)
 	c.logEvent(LogEvent{
-		Name:   "worker_synced",
-		Worker: w.id,
+		Name:        "worker_synced",
+		Worker:      w.id,
+		Incarnation: w.incarnation,
 	})
 }
 
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -229,6 +229,7 @@
 		Int("late", load.LateSteps).Int("useless", load.ExpiredSteps).
 		Int("gangs", load.GangSteps).Int("reserved", load.ReservedWorkers).Int("asking", load.StepsAwaitingAdvice).
 		Int("advisers", load.Advisers).Int("advisers_busy", load.BusyAdvisers).
+		Dur("lease_age_ms", now.Sub(c.leaseRenewedAt)).Bool("store_up", c.storeUp).
 		Int("inherited_workers", load.PredecessorWorkers).Int("open_jobs", load.OpenJobs).
 		Int64("starts", counters.Starts).Int64("stops", counters.Stops).Int64("polls", counters.Polls).
 		Int64("advice_calls", counters.AdviceCalls).Int64("notes_dropped", counters.EventsDropped).
--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -132,6 +132,12 @@
 	if e.Worker != "" {
 		entry = entry.Str("worker", e.Worker)
 	}
+	if e.Incarnation != 0 {
+		entry = entry.Int64("incarnation", e.Incarnation)
+	}
+	if e.SequenceNumber != 0 {
+		entry = entry.Int64("end", e.SequenceNumber)
+	}
 	if e.Reason != "" {
 		entry = entry.Str("reason", e.Reason)
 	}
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -137,6 +137,7 @@
 	for _, s := range e.snapshots {
 		if e.err == nil {
 			c.writer.revisions[s.Job] = e.revision
+			c.logStoredState(s, e.revision, e.took)
 		}
 		if c.cell != nil {
 			c.cell.SnapshotWritten(s.Job, s.Version, e.err == nil)
@@ -144,6 +145,15 @@
 	}
 }
 
+// logStoredState logs that the final state of a job has been stored.
+func (c *control) logStoredState(s tanagerdispatch.Snapshot, revision int64, took time.Duration) {
+	if !s.Progress.State.Final() {
+		return
+	}
+	c.log.Info().Str("event", "state_stored").Str("job", string(s.Job)).Str("state", string(s.Progress.State)).
+		Int64("revision", revision).Dur("took_ms", took).Uint64("epoch", c.leader.epoch).Send()
+}
+
 // applyConflict takes the current revisions from a conflict. A newer epoch ends
 // this scheduler's term.
 func (c *control) applyConflict(items []tanagerport.Item) {
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -23,6 +23,29 @@
 	intakeRevision int64
 	// workers is the listing of the workers' entries.
 	workers tanagerport.Page
+	// listings describes what was read, by prefix.
+	listings []listing
+}
+
+// listing describes the keys that were read under a prefix, for the log.
+type listing struct {
+	prefix string
+	items  int
+	// revision is the store's revision at the first page, newest the highest
+	// revision of an item.
+	revision, newest int64
+}
+
+func newListing(prefix string, page tanagerport.Page) listing {
+	l := listing{
+		prefix:   prefix,
+		items:    len(page.Items),
+		revision: page.Revision,
+	}
+	for _, item := range page.Items {
+		l.newest = max(l.newest, item.Revision)
+	}
+	return l
 }
 
 // takeOver starts a term as the scheduler. It reads the stored state first;
@@ -76,6 +99,9 @@
 			return nil, err
 		}
 	}
+	for i, page := range pages {
+		state.listings = append(state.listings, newListing(prefixes[i], page))
+	}
 	state.intakeRevision = pages[0].Revision
 	state.workers = pages[len(pages)-1]
 	for _, page := range pages[:len(pages)-1] {
@@ -155,14 +181,36 @@
 	}
 	c.loading = false
 	c.minTakeoverTimeout = 0
-	c.log.Info().Str("event", "takeover_done").Uint64("epoch", c.leader.epoch).
-		Int("jobs", len(e.state.jobs)).Int("workers", len(c.workers)).Send()
+	c.logTakeover(e.state)
 	for _, d := range c.deferred {
 		d.apply(c)
 	}
 	c.deferred = nil
 }
 
+// logTakeover logs what the scheduler's term begins with.
+func (c *control) logTakeover(state *storedState) {
+	for _, l := range state.listings {
+		c.log.Info().Str("event", "takeover_read").Uint64("epoch", c.leader.epoch).Str("prefix", l.prefix).
+			Int("items", l.items).Int64("revision", l.revision).Int64("newest", l.newest).Send()
+	}
+	started, ended := 0, 0
+	for _, record := range state.jobs {
+		switch p := state.progress[record.ID]; {
+		case p == nil:
+		case p.State.Final():
+			ended++
+		default:
+			started++
+		}
+	}
+	c.log.Info().Str("event", "takeover_done").Uint64("epoch", c.leader.epoch).
+		Int64("epoch_revision", c.leader.epochRevision).Int("jobs", len(state.jobs)).
+		Int("with_progress", started).Int("ended", ended).Int("cancelled", len(state.cancelled)).
+		Int("workers", len(c.workers)).Int("roster", len(state.roster)).
+		Dur("took_ms", c.timer.Now().Sub(c.termStartedAt)).Send()
+}
+
 func workerIDs(workers map[string]tanagerport.WorkerEntry) []string {
 	ids := make([]string, 0, len(workers))
 	for id := range workers {
