Let no task start beside a run that was reported before its job was known

Callers saw tasks run twice at once (the users' own runs with real processes; whether this is their way is not known). A worker that reported a run of a job the scheduler did not know was told to stop it, and the run was forgotten. When the job was added, its task was pending and started on another worker while the first run had not ended; if the first one ended as done meanwhile, the task was also started after an end that was taken note of. Class of fault: what is known at one moment is taken for what is known later.

The runs that no attempt stands for are kept until the next report of their worker, and a job that is added adopts its own. They are being stopped; their tasks start after their ends.

TestRunReportedBeforeItsJobIsKnownIsNotDuplicated failed before: run 1001 started on b beside run 1 on a.

--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -199,6 +199,7 @@
 		Reason:   jobOrigin(j.inherited),
 		Forecast: j.forecast,
 	})
+	c.claimOrphans(j)
 	return true
 }
 
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -50,6 +50,7 @@
 	w.synced = false
 	w.attemptsExpireAt = c.now.Add(2*c.settings.Lease + leaseExpiryMargin)
 	w.cordonedAt = time.Time{}
+	w.orphans = nil
 	w.setOrphanUsage(tanagerwork.Resources{})
 	w.lastStartAt, w.probationUntil = time.Time{}, time.Time{}
 	w.clock, w.leaseEnd = 0, 0
--- /dev/null
+++ b/tanager/tanagerdispatch/orphan_test.go
@@ -0,0 +1,49 @@
+package tanagerdispatch
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
+)
+
+// Guards against a task that a new scheduler starts although a worker has reported a
+// run of it, before its job was known.
+func TestRunReportedBeforeItsJobIsKnownIsNotDuplicated(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.tick(time.Millisecond)
+	task := tanagerwork.TaskName{StepName: tanagerwork.StepName{Job: "0000000000000001"}}
+	running := tanagerport.Report{Running: []tanagerport.ActiveRun{{
+		Task: task,
+		Run:  1,
+	}}}
+	for _, o := range h.openPolls {
+		if o.Worker.ID == "a" {
+			h.respondToPoll(o, running)
+		} else {
+			h.respondToPoll(o, tanagerport.Report{})
+		}
+	}
+	h.openPolls = nil
+	record := testRecord("01", testStep(1, 1000))
+	record.Epoch = 1
+	h.c.Assert(h.submit(record), qt.HasLen, 0)
+	h.cell.HandlePollResponse(h.now, PollOrder{Worker: h.cell.workers["a"].ref()}, h.now, tanagerport.Report{
+		Response: tanagerport.Response{
+			Status: tanagerport.Accepted,
+			Clock:  h.clock,
+		},
+		Incarnation: 1,
+		Ended: []tanagerport.EndedRun{{
+			SequenceNumber: 1,
+			Task:           task,
+			Run:            1,
+			Reason:         tanagerport.EndedStopped,
+		}},
+	}, nil)
+	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
+}
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -12,7 +12,7 @@
 // sentAt is when the poll was sent.
 func (c *Cell) reconcileRunning(w *worker, r tanagerport.Report, sentAt time.Time) {
 	reported := make(map[*attempt]bool, len(r.Running))
-	var orphans tanagerwork.Resources
+	w.orphans = nil
 	for _, active := range r.Running {
 		a := c.reportedAttempt(w, active)
 		if a == nil {
@@ -20,14 +20,14 @@
 		}
 		if a == nil {
 			c.stopOrphan(w, active)
-			orphans = orphans.Add(c.orphanDemand(w, active))
+			w.orphans = append(w.orphans, active)
 			continue
 		}
 		reported[a] = true
 		c.refreshAttempt(a, active)
 		c.recordSurvival(a, sentAt)
 	}
-	w.setOrphanUsage(orphans)
+	c.updateOrphanUsage(w)
 	if !r.Complete {
 		return
 	}
@@ -46,6 +46,36 @@
 	}
 }
 
+// updateOrphanUsage allocates the capacity of a worker's orphaned runs.
+func (c *Cell) updateOrphanUsage(w *worker) {
+	var usage tanagerwork.Resources
+	for _, active := range w.orphans {
+		usage = usage.Add(c.orphanDemand(w, active))
+	}
+	w.setOrphanUsage(usage)
+}
+
+// claimOrphans adopts the runs of a new job that workers have reported before. They
+// are being stopped, and none of their tasks may start before they have ended.
+func (c *Cell) claimOrphans(j *job) {
+	for _, w := range c.workerList {
+		claimed := slices.DeleteFunc(w.orphans, func(active tanagerport.ActiveRun) bool {
+			if active.Task.Job != j.record.ID {
+				return false
+			}
+			a := c.adopt(w, active)
+			if a != nil {
+				c.stopSingly(a, "reported before its job was known")
+			}
+			return a != nil
+		})
+		if len(claimed) < len(w.orphans) {
+			w.orphans = claimed
+			c.updateOrphanUsage(w)
+		}
+	}
+}
+
 // orphanDemand returns the capacity that an orphaned run takes. If its job is not
 // known, all of the worker's capacity is assumed.
 func (c *Cell) orphanDemand(w *worker, active tanagerport.ActiveRun) tanagerwork.Resources {
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -23,7 +23,9 @@
 	synced   bool
 	free     tanagerwork.Resources
 	attempts []*attempt
-	// orphanUsage is the capacity taken by runs that no attempt stands for.
+	// orphans are the runs in the last report that no attempt stands for, and
+	// orphanUsage is the capacity that they take.
+	orphans     []tanagerport.ActiveRun
 	orphanUsage tanagerwork.Resources
 	// clock is the worker's clock at clockAt. leaseEnd is the latest deadline
 	// that was sent, on that clock.
