Start no gang again beside a member of its former run

Callers can see two runs of a task at once after a change of scheduler. A successor does not adopt a member of a gang's run of which another member has ended, or that is being aborted: the member was told to stop, and no attempt stood for it. The gang counted as free of attempts, and started again on other workers in the same tick as the stop was sent, which takes up to the platform's stop grace.

Such a member is adopted and stopped, so that it holds the gang back until its end is reported or its worker's lease is over. A member of a former run is not taken into the watch of the gang's assembly.

TestGangWaitsForOrphanOfItsFormerRun failed before: both members started beside the run on b.

--- a/tanager/tanagerdispatch/assembly.go
+++ b/tanager/tanagerdispatch/assembly.go
@@ -34,15 +34,16 @@
 }
 
 // adoptable reports whether a run of a member that a predecessor started is of
-// use.
+// use: the gang is not being aborted, has no later run and has lost no member of
+// this one.
 func (g *gangState) adoptable(run int64) bool {
 	return run >= g.lastRun && run > g.assembly.endedRun && !g.aborting
 }
 
 // watchAssembly begins to watch a gang with the first attempt of a run. A gang of
-// one waits for nobody.
+// one waits for nobody, and a former run is only being stopped.
 func (c *Cell) watchAssembly(s *step, run int64) {
-	if len(s.tasks) == 1 {
+	if len(s.tasks) == 1 || run < s.gang.lastRun {
 		return
 	}
 	if s.activeAttempts == 0 || run > s.gang.lastRun {
--- a/tanager/tanagerdispatch/orphan_test.go
+++ b/tanager/tanagerdispatch/orphan_test.go
@@ -47,3 +47,61 @@
 	}, nil)
 	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
 }
+
+// Guards against a gang that is started again while a worker still runs a member of
+// its former run, which no attempt stands for.
+func TestGangWaitsForOrphanOfItsFormerRun(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.cell.AddPredecessorWorkers(h.now, []string{"a", "b"})
+	record := testRecord("01", gangStep(2, 1500))
+	record.Epoch = 1
+	h.cell.AddJob(h.now, record, nil)
+	h.tick(time.Millisecond)
+	member := func(index int) tanagerwork.TaskName {
+		return tanagerwork.TaskName{
+			StepName: tanagerwork.StepName{Job: record.ID},
+			Index:    index,
+		}
+	}
+	polls := h.openPolls
+	h.openPolls = nil
+	// The end of one member shows that the run is of no use.
+	h.respondToPoll(pollOf(polls, "a"), tanagerport.Report{Ended: []tanagerport.EndedRun{{
+		SequenceNumber: 1,
+		Task:           member(0),
+		Run:            1,
+		Reason:         tanagerport.EndedGangTimeout,
+	}}})
+	h.respondToPoll(pollOf(polls, "b"), tanagerport.Report{Running: []tanagerport.ActiveRun{{
+		Task: member(1),
+		Run:  1,
+	}}})
+	out := h.tick(200 * time.Millisecond)
+	h.c.Assert(out.Starts, qt.HasLen, 0)
+	h.c.Assert(out.Stops, qt.HasLen, 1)
+	h.cell.HandlePollResponse(h.now, PollOrder{Worker: h.cell.workers["b"].ref()}, h.now, tanagerport.Report{
+		Response: tanagerport.Response{
+			Status: tanagerport.Accepted,
+			Clock:  h.clock,
+		},
+		Incarnation: 1,
+		Ended: []tanagerport.EndedRun{{
+			SequenceNumber: 1,
+			Task:           member(1),
+			Run:            1,
+			Reason:         tanagerport.EndedStopped,
+		}},
+	}, nil)
+	h.c.Assert(h.tick(200*time.Millisecond).Starts, qt.HasLen, 2)
+}
+
+// pollOf returns the poll of a worker.
+func pollOf(polls []PollOrder, id string) PollOrder {
+	for _, o := range polls {
+		if o.Worker.ID == id {
+			return o
+		}
+	}
+	return PollOrder{}
+}
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -150,18 +150,19 @@
 }
 
 // adopt creates an attempt for a run that a predecessor started. It returns nil
-// if the run is not wanted: its task is not known, is done or has an attempt, its
-// job has ended, or its gang is being aborted, has a later run or has lost another
-// member of this one.
+// if no attempt can stand for the run: its task is not known, is done or has an
+// attempt, or its job has ended. A member of a gang's run that is of no use is
+// stopped, and the gang is not started again before it has ended.
 func (c *Cell) adopt(w *worker, active tanagerport.ActiveRun) *attempt {
 	s := c.findStep(active.Task)
 	if s == nil || s.job.state.Final() {
 		return nil
 	}
 	t := &s.tasks[active.Task.Index]
-	if t.done || t.attempt != nil || s.spec.Gang && !s.gang.adoptable(active.Run) {
+	if t.done || t.attempt != nil {
 		return nil
 	}
+	useless := s.spec.Gang && !s.gang.adoptable(active.Run)
 	a := c.newAttempt(s, active.Task.Index, active.Run, w)
 	a.phase = running
 	a.startedAt = c.now
@@ -173,5 +174,8 @@
 		Worker: w.id,
 	})
 	c.markStarted(s.job)
+	if useless {
+		c.stopSingly(a, "member of an ended run of its gang")
+	}
 	return a
 }
