Wait for the report of a worker that has restarted before a takeover

Callers can see two runs of a task at once. A successor starts the tasks of inherited jobs when each worker of its predecessor has reported or its lease is over. An entry that shows a later incarnation ended that wait without a report, since no run of the former incarnation goes on; but the predecessor may have polled the new incarnation at the same address, before its entry was written, and have started tasks on it. Class of fault: what is true of one incarnation is taken for a fact about the next.

Only a report or the end of the lease ends the wait now.

TestSuccessorWaitsForReportOfNewIncarnation failed before: the task started on b while the new incarnation of a had not been heard.

--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -35,7 +35,8 @@
 
 // replaceIncarnation resets a worker that has restarted. No run of its former
 // incarnation continues, but orders that were in flight may have reached the new
-// one, so the attempts are kept until its first report.
+// one, so the attempts are kept until its first report. A predecessor may have
+// started tasks on the new incarnation too.
 func (c *Cell) replaceIncarnation(w *worker, incarnation int64, reason string) {
 	c.suspectAttempts(w, true)
 	c.logEvent(LogEvent{
@@ -59,7 +60,6 @@
 	w.reportedIdle = false
 	w.pollInFlight = false
 	w.nextPollAt = c.now
-	delete(c.predecessorLeases, w.id)
 }
 
 // loseAttempts removes all attempts of a worker after their runs have certainly
