Tell incarnations of a worker apart whatever the order of their numbers

Callers can see tasks run again after an end that was acknowledged. An incarnation is named by the time of day of its start, and the higher number was taken for the later one. A worker whose time of day is put back, by a jump or by the end of one, restarts under its id with a lower number: its entry was ignored, and its reports counted as those of the former incarnation. Its first ends had numbers below the last applied one, so they were skipped and at once acknowledged, and each of their tasks ran again. Class of fault: facts of one life taken for another's; one restart repeats many tasks.

A worker keeps the incarnations that have ended. Any other name than the present one is a restart, one of the former is old news.

TestEndsOfIncarnationWithLowerNumber failed before: the job stayed running.

--- a/tanager/tanagerdispatch/incarnation_test.go
+++ b/tanager/tanagerdispatch/incarnation_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
 )
 
 // Guards against a successor that no longer waits for a worker because its entry
@@ -25,3 +26,43 @@
 	h.respondToPoll(pollOf(h.orders.Polls, "a"), tanagerport.Report{})
 	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
 }
+
+// Guards against the ends of a worker that are taken for those of its former
+// incarnation, as its time of day was put back before it restarted: they were
+// acknowledged unread, and their tasks ran again.
+func TestEndsOfIncarnationWithLowerNumber(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 7))
+	h.sync()
+	first := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.accept(first)
+	h.tick(20 * time.Millisecond)
+	h.respondToPolls(tanagerport.Report{Ended: []tanagerport.EndedRun{{
+		SequenceNumber: 40,
+		Task:           first.Start.Task,
+		Run:            first.Start.Run,
+		Reason:         tanagerport.EndedDone,
+	}}})
+	h.storeProgress()
+	h.setWorkers(testWorker("a", 5))
+	h.tick(50 * time.Millisecond)
+	h.respondToPolls(tanagerport.Report{Incarnation: 5})
+	second := h.submit(testRecord("02", testStep(1, 1000)))[0]
+	h.accept(second)
+	h.tick(50 * time.Millisecond)
+	h.respondToPolls(tanagerport.Report{
+		Incarnation: 5,
+		Ended: []tanagerport.EndedRun{{
+			SequenceNumber: 1,
+			Task:           second.Start.Task,
+			Run:            second.Start.Run,
+			Reason:         tanagerport.EndedDone,
+		}},
+	})
+	h.storeProgress()
+	state, _ := h.cell.State(second.Start.Task.Job)
+	h.c.Assert(state, qt.Equals, tanagerwork.Completed)
+	// An entry of the former incarnation that arrives late changes nothing.
+	h.setWorkers(testWorker("a", 7))
+	h.c.Assert(h.cell.workers["a"].incarnation, qt.Equals, int64(5))
+}
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -47,6 +47,10 @@
 
 		Incarnation: incarnation,
 	})
+	if w.ended == nil {
+		w.ended = make(map[int64]bool)
+	}
+	w.ended[w.incarnation] = true
 	w.incarnation = incarnation
 	w.synced = false
 	w.attemptsExpireAt = c.now.Add(2*c.settings.Lease + leaseExpiryMargin)
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -129,14 +129,17 @@
 		c.handlePollFailure(w, order.Poll.Epoch, r.Status, err)
 		return
 	}
+	if w.ended[r.Incarnation] {
+		return
+	}
 	w.missedPolls = 0
 	w.lastResponse = now
 	w.nextPollAt = now.Add(minPollInterval)
 	if len(w.attempts) == 0 && len(r.Running) == 0 && len(r.Ended) == 0 {
 		w.nextPollAt = now.Add(max(c.idlePollPause, minPollInterval))
 	}
-	if r.Incarnation > w.incarnation {
-		c.replaceIncarnation(w, r.Incarnation, "report of a later incarnation")
+	if w.replacedBy(r.Incarnation) {
+		c.replaceIncarnation(w, r.Incarnation, "report of another incarnation")
 	}
 	w.recordAlive(now)
 	w.recordClock(r.Clock, now)
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -13,7 +13,10 @@
 type worker struct {
 	id          string
 	incarnation int64
-	entry       tanagerport.WorkerEntry
+	// ended holds the former incarnations. An incarnation is named by a time of day,
+	// which may have been put back before a restart, so a lower one can be the later.
+	ended map[int64]bool
+	entry tanagerport.WorkerEntry
 	// listed workers are in the latest list of workers; inRoster workers are also
 	// in the stored roster, so that a successor waits for them. leavingRoster
 	// workers were left out of the roster that was last to be stored.
@@ -87,6 +90,12 @@
 	}
 }
 
+// replacedBy reports whether a worker has restarted, as its entry or a report names
+// another incarnation that is not one of the former. 0 names none.
+func (w *worker) replacedBy(incarnation int64) bool {
+	return incarnation != 0 && incarnation != w.incarnation && !w.ended[incarnation]
+}
+
 func (w *worker) deallocate(a *attempt) {
 	if i := slices.Index(w.attempts, a); i >= 0 {
 		w.attempts = slices.Delete(w.attempts, i, i+1)
@@ -130,11 +139,11 @@
 	if w == nil {
 		w = c.newWorker(e)
 	}
-	if e.Incarnation < w.incarnation {
+	if w.ended[e.Incarnation] {
 		return
 	}
-	if e.Incarnation > w.incarnation {
-		c.replaceIncarnation(w, e.Incarnation, "listed with a later incarnation")
+	if w.replacedBy(e.Incarnation) {
+		c.replaceIncarnation(w, e.Incarnation, "listed with another incarnation")
 	}
 	c.logEntryChange(w, e)
 	c.setCapacity(w, e.Capacity)
