Send no start and no acknowledgement that was decided on before a pause

Callers can see tasks run again. A scheduler that is paused between a decision and the goroutine that makes the call sent a start, extended a lease or acknowledged ends on what it knew seconds before; a worker that has restarted meanwhile knows no fencing token that would refuse them.

A start older than maxOrderDelay is not sent, and counts as one that certainly reached nobody. Such a poll goes out without a deadline and without a number.

TestPausedSchedulerSendsNoOldOrders covers both; before, the calls were made directly from execute, without an age.

--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -12,10 +12,11 @@
 // prove nothing about what the workers know of the current epoch.
 func (c *control) execute(orders tanagerdispatch.Orders) {
 	term := c.term
+	decidedAt := c.timer.Now()
 	for _, o := range orders.Starts {
 		go func() {
 			sentAt := c.timer.Now()
-			response, err := c.ports.Workers.Start(c.ctx, o.Worker, o.Start)
+			response, err := c.sendStart(o, sentAt.Sub(decidedAt))
 			c.metrics.ObserveOrder(c.ctx, "start", c.timer.Now().Sub(sentAt))
 			c.post(startCallFinished{
 				term:     term,
@@ -39,7 +40,7 @@
 	for _, o := range orders.Polls {
 		go func() {
 			sentAt := c.timer.Now()
-			report, err := c.ports.Workers.Poll(c.ctx, o.Worker, o.Poll)
+			report, err := c.sendPoll(o, sentAt.Sub(decidedAt))
 			c.post(pollCallFinished{
 				term:   term,
 				order:  o,
@@ -74,6 +75,30 @@
 	}
 }
 
+// maxOrderDelay is the time between the decision on an order and its call above which
+// this process counts as paused: what the decision was based on may be out of date.
+const maxOrderDelay = 500 * time.Millisecond
+
+// sendStart sends a start that was decided on the given time ago. After a pause it
+// sends nothing: another scheduler may have started the task meanwhile.
+func (c *control) sendStart(o tanagerdispatch.StartOrder, age time.Duration) (tanagerport.Response, error) {
+	if age > maxOrderDelay {
+		return tanagerport.Response{}, tanagerport.Refused.New("start was decided on %v ago", age)
+	}
+	return c.ports.Workers.Start(c.ctx, o.Worker, o.Start)
+}
+
+// sendPoll sends a poll that was decided on the given time ago. After a pause it
+// acknowledges nothing, as the worker may have restarted meanwhile, and extends no
+// lease.
+func (c *control) sendPoll(o tanagerdispatch.PollOrder, age time.Duration) (tanagerport.Report, error) {
+	if age > maxOrderDelay {
+		o.Poll.Acknowledged = 0
+		o.Poll.Deadline = 0
+	}
+	return c.ports.Workers.Poll(c.ctx, o.Worker, o.Poll)
+}
+
 type startCallFinished struct {
 	term     uint64
 	order    tanagerdispatch.StartOrder
--- /dev/null
+++ b/tanagerd/tanagercell/execute_test.go
@@ -0,0 +1,55 @@
+package tanagercell
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+
+	"tanagersail.example/tanager/tanagerdispatch"
+	"tanagersail.example/tanager/tanagerport"
+)
+
+// recordingWorkers records the starts and polls that it receives.
+type recordingWorkers struct {
+	Workers
+
+	starts []tanagerport.Start
+	polls  []tanagerport.Poll
+}
+
+func (w *recordingWorkers) Start(_ context.Context, _ tanagerport.WorkerRef,
+	s tanagerport.Start) (tanagerport.Response, error) {
+	w.starts = append(w.starts, s)
+	return tanagerport.Response{}, nil
+}
+
+func (w *recordingWorkers) Poll(_ context.Context, _ tanagerport.WorkerRef,
+	p tanagerport.Poll) (tanagerport.Report, error) {
+	w.polls = append(w.polls, p)
+	return tanagerport.Report{}, nil
+}
+
+// Guards against a process that is paused between a decision and its call, and then
+// starts a task or acknowledges ends on what was known before the pause.
+func TestPausedSchedulerSendsNoOldOrders(t *testing.T) {
+	c := newTestControl(t)
+	workers := &recordingWorkers{}
+	c.ports.Workers = workers
+	_, err := c.sendStart(tanagerdispatch.StartOrder{}, maxOrderDelay)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = c.sendStart(tanagerdispatch.StartOrder{}, maxOrderDelay+time.Millisecond)
+	qt.Assert(t, errorx.IsOfType(err, tanagerport.Refused), qt.IsTrue)
+	qt.Assert(t, workers.starts, qt.HasLen, 1)
+	order := tanagerdispatch.PollOrder{Poll: tanagerport.Poll{
+		Acknowledged: 7,
+		Deadline:     time.Hour,
+	}}
+	for _, age := range []time.Duration{maxOrderDelay, maxOrderDelay + time.Millisecond} {
+		_, err = c.sendPoll(order, age)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, workers.polls, qt.DeepEquals, []tanagerport.Poll{order.Poll, {}})
+}
