Acknowledge nothing by a response that may have waited for a paused scheduler

Callers can see tasks run again after an end that was acknowledged. A poll acknowledges ends if the worker responded within the last second, too short for a restart. That second began when the response was read: in a process that was paused it may have lain unread for as long as the pause, and the worker may have restarted since. Its next incarnation forgot its first ends. Class of fault: the moment of reading taken for that of the event.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -42,6 +42,9 @@
 	expired    expiredTurns
 	// assembling are the gangs that have started and are not known to work yet.
 	assembling []*step
+	// tickedAt is when the last tick began. resumedAt is when ticks began again after
+	// a pause of this process or a call of Tick that took long.
+	tickedAt, resumedAt time.Time
 	// capacityVersion is incremented whenever a step that did not fit may fit
 	// again. Such a step is not tried before that.
 	capacityVersion uint64
@@ -328,6 +331,10 @@
 // and issues the orders that follow from them.
 func (c *Cell) Tick(now time.Time) {
 	c.now = now
+	if now.Sub(c.tickedAt) > maxTickGap {
+		c.resumedAt = now
+	}
+	c.tickedAt = now
 	c.expireLeases()
 	c.expirePredecessorLeases()
 	c.createDueOccurrences()
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -97,9 +97,11 @@
 // surelySameIncarnation reports whether a worker cannot have restarted and ended
 // runs since its last response. The numbers of ends start anew with each
 // incarnation, which a poll does not name: an acknowledgement would make the next
-// incarnation forget ends that it has not reported yet.
+// incarnation forget ends that it has not reported yet. A response to a poll from
+// before a pause of this process may have arrived at any time of the pause.
 func (c *Cell) surelySameIncarnation(w *worker) bool {
-	return w.synced && w.missedPolls == 0 && c.now.Sub(w.lastResponse) <= maxAcknowledgementDelay
+	return w.synced && w.missedPolls == 0 && !w.answeredAt.Before(c.resumedAt) &&
+		c.now.Sub(w.lastResponse) <= maxAcknowledgementDelay
 }
 
 // advanceAcknowledged returns the highest number up to which all ends reported by
@@ -134,6 +136,7 @@
 	}
 	w.missedPolls = 0
 	w.lastResponse = now
+	w.answeredAt = sentAt
 	w.nextPollAt = now.Add(minPollInterval)
 	if len(w.attempts) == 0 && len(r.Running) == 0 && len(r.Ended) == 0 {
 		w.nextPollAt = now.Add(max(c.idlePollPause, minPollInterval))
