Retain a job that is complete by its stored progress

Suspected only: a job that a successor finds to be complete, though its stored progress does not say so, counted as stored and as shown since the year 1. Its keys were removed within 0.2 s; its callers were told 410, and a repeated submission ran it again. No path is known by which a predecessor stores such progress.

The completion is stored first, as any other.

TestJobCompletedByItsStoredProgressIsRetained failed before: the job was among the expired ones at once.

--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -27,6 +27,10 @@
 			}
 		}
 	}
+	if j.state.Final() {
+		// The stored progress lacks the final state.
+		return
+	}
 	j.storedVersion = j.progressVersion
 }
 
--- a/tanager/tanagerdispatch/retention_test.go
+++ b/tanager/tanagerdispatch/retention_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
 )
 
 // Guards against jobs whose final state is removed early: it can be reported only
@@ -27,3 +28,27 @@
 	h.runIdle(2 * time.Second)
 	h.c.Assert(expired(), qt.Equals, 1)
 }
+
+// Guards against a job that a successor finds to be complete, and removes at once as
+// if its final state had been reported long ago: it was unknown to its callers, and
+// ran again when it was submitted once more.
+func TestJobCompletedByItsStoredProgressIsRetained(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	record := testRecord("01", testStep(1, 1000))
+	record.Epoch = 1
+	h.cell.AddJob(h.now, record, &tanagerwork.Progress{
+		State:   tanagerwork.Running,
+		Started: true,
+		Steps:   []tanagerwork.StepProgress{{AllDone: true}},
+	})
+	h.c.Assert(h.cell.ExpiredJobs(h.now, 10), qt.HasLen, 0)
+	state, _ := h.cell.State(record.ID)
+	h.c.Assert(state, qt.Equals, tanagerwork.Running)
+	h.storeProgress()
+	state, _ = h.cell.State(record.ID)
+	h.c.Assert(state, qt.Equals, tanagerwork.Completed)
+	h.c.Assert(h.cell.ExpiredJobs(h.now, 10), qt.HasLen, 0)
+	h.c.Assert(h.cell.ExpiredJobs(h.now.Add(2*testSettings().Retention), 10), qt.HasLen, 1)
+}
