Apply ends whatever the order in which reports show them

Suspected only: nothing in the platform's pages says that a report lists an end only after those of lower numbers. An end that was shown after a later one was skipped, acknowledged with the next poll, and its task ran again. Workers that end several runs at once in processes of their own can produce such reports; the bench and the fakes do not.

An end has been applied if it is acknowledged or among the pending ones.

TestEndThatIsReportedAfterALaterOne failed before: the job stayed running.

--- a/tanager/tanagerdispatch/early.go
+++ b/tanager/tanagerdispatch/early.go
@@ -31,7 +31,7 @@
 		reportedAt:  c.now,
 	}
 	c.earlyEnds[ended.Task.Job] = append(c.earlyEnds[ended.Task.Job], e)
-	w.pendingAcks = append(w.pendingAcks, pendingAck{
+	w.addPendingAck(pendingAck{
 		sequenceNumber: ended.SequenceNumber,
 		early:          e,
 	})
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -221,20 +222,43 @@
 
 func (c *Cell) applyEndedRuns(w *worker, ends []tanagerport.EndedRun) {
 	for _, ended := range ends {
-		if ended.SequenceNumber <= w.lastAppliedEnd {
+		if w.hasApplied(ended.SequenceNumber) {
 			continue
 		}
-		w.lastAppliedEnd = ended.SequenceNumber
+		w.lastAppliedEnd = max(w.lastAppliedEnd, ended.SequenceNumber)
 		j := c.jobs[ended.Task.Job]
 		if j == nil {
 			c.holdEarlyEnd(w, ended)
 			continue
 		}
 		c.handleEnd(w, ended)
-		w.pendingAcks = append(w.pendingAcks, pendingAck{
+		w.addPendingAck(pendingAck{
 			sequenceNumber:  ended.SequenceNumber,
 			job:             j,
 			progressVersion: j.progressVersion,
 		})
 	}
 }
+
+// hasApplied reports whether the end with a number has been applied. A report may
+// show an end before one of a lower number.
+func (w *worker) hasApplied(number int64) bool {
+	if number <= w.acknowledgedEnd {
+		return true
+	}
+	_, pending := w.findPendingAck(number)
+	return pending
+}
+
+func (w *worker) addPendingAck(p pendingAck) {
+	i, _ := w.findPendingAck(p.sequenceNumber)
+	w.pendingAcks = slices.Insert(w.pendingAcks, i, p)
+}
+
+// findPendingAck returns the position of an end among the pending ones, which are
+// sorted by number, and whether it is there.
+func (w *worker) findPendingAck(number int64) (int, bool) {
+	return slices.BinarySearchFunc(w.pendingAcks, number, func(p pendingAck, n int64) int {
+		return cmp.Compare(p.sequenceNumber, n)
+	})
+}
--- a/tanager/tanagerdispatch/poll_test.go
+++ b/tanager/tanagerdispatch/poll_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"tanagersail.example/tanager/tanagerport"
+	"tanagersail.example/tanager/tanagerwork"
 )
 
 func testFleet(n int) []tanagerport.WorkerEntry {
@@ -190,3 +191,17 @@
 	h.c.Assert(h.openPolls, qt.HasLen, 1)
 	h.c.Assert(h.openPolls[0].Poll.Acknowledged, qt.Equals, int64(40))
 }
+
+// Guards against an end that a report shows only after one with a higher number: it
+// was skipped and acknowledged, and its task ran again.
+func TestEndThatIsReportedAfterALaterOne(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	starts := h.submit(testRecord("01", testStep(2, 500)))
+	h.reportEnds("a", 2, tanagerport.EndedDone, starts[1])
+	h.reportEnds("a", 1, tanagerport.EndedDone, starts[0], starts[1])
+	h.storeProgress()
+	state, _ := h.cell.State(starts[0].Start.Task.Job)
+	h.c.Assert(state, qt.Equals, tanagerwork.Completed)
+}
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -52,9 +52,9 @@
 	nextPollAt   time.Time
 	missedPolls  int
 
-	// lastAppliedEnd is the number of the last end that was applied, and
+	// lastAppliedEnd is the highest number of an end that was applied, and
 	// acknowledgedEnd that of the last one whose progress is stored. pendingAcks
-	// are the ends in between.
+	// are the applied ends after it, sorted by number.
 	lastAppliedEnd, acknowledgedEnd int64
 	pendingAcks                     []pendingAck
 	// reportedIdle is set if the last report was complete and contained no run.
