Serve each epoch once

Suspected only: callers can see two runs of a task. A scheduler that steps down forgets the holder of the store's key and its revision. If it then reads the key again, from a listing after a loss of history or from the conflict of its next campaign, and its lease has not ended, it took over under the same epoch. Orders of the first term that are still on their way carry the same fencing token, so that no worker refuses them, and the second term gives their run numbers again. Class of fault: what is true of one term is taken for the next.

A daemon's own record of an epoch that it has served counts as no holder; the next election has a higher epoch.

TestEpochIsServedOnce failed before: the cell of the second term had epoch 1.

--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -68,6 +68,8 @@
 	term     uint64
 	loading  bool
 	deferred []event
+	// lastTermEpoch is the epoch of the present or last term. It is served once.
+	lastTermEpoch uint64
 	// termStartedAt is the start of the current or last term; announceTo lists
 	// the daemons to notify after an election that a handover triggered.
 	termStartedAt time.Time
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -398,3 +398,19 @@
 	qt.Assert(t, c.hintsReceivedAt, qt.Equals, received)
 	qt.Assert(t, c.schedulerHeardAt, qt.Equals, c.timer.Now())
 }
+
+// Guards against a daemon that has stepped down, reads its own record again and
+// serves a second term of the same epoch: no worker refuses the orders of the first.
+func TestEpochIsServedOnce(t *testing.T) {
+	c := newTestControl(t)
+	c.becomeScheduler(1)
+	c.stepDown("handed over to another daemon")
+	c.applyLeaderItem(holderItem(self, 1, 10))
+	q := qt.New(t)
+	q.Assert(c.cell, qt.IsNil)
+	q.Assert(c.isLeader(), qt.IsFalse)
+	c.applyLeaderItem(epochItem(2, 20))
+	c.applyLeaderItem(holderItem(self, 2, 20))
+	q.Assert(c.cell, qt.IsNotNil)
+	q.Assert(c.cell.Epoch(), qt.Equals, uint64(2))
+}
--- a/tanagerd/tanagercell/election.go
+++ b/tanagerd/tanagercell/election.go
@@ -85,6 +85,10 @@
 		c.log.Error().Str("event", "leader_record_decode_failed").Str("key", item.Key).Err(err).Send()
 		return
 	}
+	if c.cell == nil && c.isLeader() && c.leader.holder.Epoch <= c.lastTermEpoch {
+		// Nobody fences the orders of a term of the same epoch that has ended.
+		c.leader.clearHolder()
+	}
 	if previous != c.leader {
 		c.leaderChanged()
 	}
@@ -102,7 +106,7 @@
 	switch {
 	case c.cell != nil && c.leader.epoch > c.cell.Epoch() && c.isLeader() &&
 		c.leader.epoch == c.cell.Epoch()+1 && !c.loading:
-		c.cell.RaiseEpoch(c.leader.epoch)
+		c.raiseEpoch()
 	case c.cell != nil && c.leader.epoch > c.cell.Epoch():
 		c.stepDown("the store holds a higher epoch")
 		if c.isLeader() {
@@ -113,6 +117,13 @@
 	}
 }
 
+// raiseEpoch continues the term under the epoch of another election that this daemon
+// has won.
+func (c *control) raiseEpoch() {
+	c.lastTermEpoch = c.leader.epoch
+	c.cell.RaiseEpoch(c.leader.epoch)
+}
+
 // stepDown ends this daemon's term and discards the cell.
 func (c *control) stepDown(reason string) {
 	c.log.Warn().Str("event", "scheduler_stop").Str("reason", reason).Uint64("epoch", c.leader.epoch).Send()
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -52,6 +52,7 @@
 // jobs and cancellations that arrive meanwhile are deferred.
 func (c *control) takeOver() {
 	c.term++
+	c.lastTermEpoch = c.leader.epoch
 	c.termStartedAt = c.timer.Now()
 	c.loading = true
 	c.writer = newStoreWriter()
