End a scheduler's right to extend leases when it may have been replaced

Callers can see two runs of a task at once, on workers that are up. A scheduler that loses the store goes on, as it cannot tell an outage from a fault of its own, until a worker refuses its epoch. Its successor starts the tasks of a worker that it cannot reach when the leases that the predecessor may have extended for 1.7 s after the takeover are over. If one fault separates the predecessor, with some of the workers, from the successor and the store, no worker refuses it: it extends their leases and starts tasks for as long as the fault lasts. Class of fault: each side takes for granted what only the other could end.

The scheduler extends leases and starts tasks for RenewalWindow after the latest time at which it was certainly in office: the store has confirmed its lease or a write under its epoch, or all other daemons still followed it. Heartbeats name the last broadcast of the scheduler that they answer, so that one that was delayed, or read after a pause, proves no more than that broadcast. In an outage with all daemons alive the scheduler goes on as before. A takeover also ends if its own listing shows a later election.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -45,6 +45,9 @@
 	// tickedAt is when the last tick began. resumedAt is when ticks began again after
 	// a pause of this process or a call of Tick that took long.
 	tickedAt, resumedAt time.Time
+	// authorityUntil is when the scheduler must stop extending leases and starting
+	// tasks; zero for never.
+	authorityUntil time.Time
 	// capacityVersion is incremented whenever a step that did not fit may fit
 	// again. Such a step is not tried before that.
 	capacityVersion uint64
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -80,13 +80,14 @@
 // buildPoll returns the next poll of a worker. The first poll of an incarnation
 // or epoch asks for an immediate response. A worker that did not respond to the
 // last poll gets no extended lease, as each extension would postpone the time at
-// which its runs are known to have ended.
+// which its runs are known to have ended, and neither does any worker of a scheduler
+// without authority.
 func (c *Cell) buildPoll(w *worker) tanagerport.Poll {
 	p := tanagerport.Poll{Epoch: c.epoch}
 	if acknowledged := c.advanceAcknowledged(w); c.surelySameIncarnation(w) {
 		p.Acknowledged = acknowledged
 	}
-	if w.clock > 0 && w.missedPolls == 0 {
+	if w.clock > 0 && w.missedPolls == 0 && c.hasAuthority() {
 		p.Deadline = w.extendLease(c.now, c.settings.Lease)
 	}
 	if w.synced && w.missedPolls == 0 {
--- a/tanager/tanagerdispatch/predecessor.go
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -8,13 +8,12 @@
 // that has certainly expired.
 // AddPredecessorWorkers must be called before AddJob.
 //
-// The predecessor may extend leases until a worker refuses its epoch, for at most
-// predecessorRenewalWindow.
+// The predecessor extends leases for at most RenewalWindow, see SetAuthority.
 func (c *Cell) AddPredecessorWorkers(now time.Time, workers []string) {
 	c.now = now
 	lease := time.Duration(float64(c.settings.Lease) * (1 + clockDrift))
 	for _, id := range workers {
-		c.predecessorLeases[id] = now.Add(predecessorRenewalWindow + lease + leaseExpiryMargin)
+		c.predecessorLeases[id] = now.Add(RenewalWindow + lease + leaseExpiryMargin)
 	}
 }
 
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -207,7 +207,7 @@
 		return
 	}
 	c.logAttempt("start_unanswered", a, "")
-	if a.startsSent < maxStartSends && a.mayStartAgain() {
+	if a.startsSent < maxStartSends && c.hasAuthority() && a.mayStartAgain() {
 		c.sendStart(a)
 		return
 	}
--- a/tanager/tanagerdispatch/schedule.go
+++ b/tanager/tanagerdispatch/schedule.go
@@ -224,7 +224,7 @@
 // mayStart reports whether a step's tasks may be started now, apart from
 // capacity.
 func (c *Cell) mayStart(s *step) bool {
-	if c.now.Before(s.due) || c.now.Before(s.notBefore) || c.awaitsCrashWrite(s) || !c.predecessorRunsKnown(s.job) {
+	if !c.hasAuthority() || c.now.Before(s.due) || c.now.Before(s.notBefore) || c.awaitsCrashWrite(s) || !c.predecessorRunsKnown(s.job) {
 		return false
 	}
 	return !s.spec.Gang || s.activeAttempts == 0
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -26,10 +26,6 @@
 	// leaseExpiryMargin is how long after the end of its lease a worker may still
 	// be ending its runs.
 	leaseExpiryMargin = 300 * time.Millisecond
-	// predecessorRenewalWindow bounds how long a replaced scheduler may go on
-	// extending leases: one poll until a worker refuses its epoch, and the
-	// timeout of that call.
-	predecessorRenewalWindow = pollWait + 700*time.Millisecond
 	// pollWait is how long a worker may delay its response to a poll (long
 	// polling). It also bounds the age of the progress of running tasks.
 	pollWait = time.Second
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -68,6 +68,10 @@
 	term     uint64
 	loading  bool
 	deferred []event
+	// authority is how long the present term may be relied on.
+	authority *authority
+	// followed is the last broadcast of a scheduler that this daemon has received.
+	followed followedBroadcast
 	// lastTermEpoch is the epoch of the present or last term. It is served once.
 	lastTermEpoch uint64
 	// termStartedAt is the start of the current or last term; announceTo lists
@@ -198,6 +202,7 @@
 	tickDue := now.Sub(c.lastTick) >= minTickInterval
 	if tickDue {
 		c.lastTick = now
+		c.updateAuthority(now)
 		c.cell.Tick(now)
 		c.longestTick = max(c.longestTick, c.timer.Now().Sub(now))
 	}
@@ -263,6 +268,7 @@
 			Uptime:       now.Sub(c.startedAt),
 			Stopping:     c.stopping,
 			Weight:       c.settings.Weight,
+			Followed:     c.followed,
 
 			SinceStoreSuccess: now.Sub(c.lastStoreSuccess),
 			StoreUptime:       c.storeUptime(now),
@@ -290,6 +296,7 @@
 		// The lease runs from the arrival of the renewal, which may have been any
 		// time since it was sent.
 		c.leaseRenewedAt = e.sentAt
+		c.confirmAuthority(e.sentAt)
 		c.lastStoreSuccess = c.timer.Now()
 	}
 	if e.ended {
@@ -448,6 +455,7 @@
 	msg := hintsMessage{
 		HeartbeatInterval: heartbeatInterval,
 		Epoch:             c.cell.Epoch(),
+		Broadcast:         c.authority.nextBroadcast(now),
 	}
 	pause := time.Duration(c.hintBytes) * time.Second / hintBytesPerSecond
 	if now.Sub(c.lastHintsSent) < min(pause, maxHintInterval) {
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -38,6 +38,8 @@
 	Stopping bool          `json:"stopping"`
 	// Weight is the daemon's share of a core.
 	Weight float64 `json:"weight"`
+	// Followed is the last broadcast that the daemon has received.
+	Followed followedBroadcast `json:"followed"`
 	// SinceStoreSuccess is the time since the last successful call to the
 	// store. StoreUptime is the time for which calls have succeeded, 0 while
 	// they fail.
@@ -45,6 +47,12 @@
 	StoreUptime       time.Duration `json:"store_steady"`
 }
 
+// followedBroadcast names a broadcast of a scheduler by its epoch and number.
+type followedBroadcast struct {
+	Epoch  uint64 `json:"epoch"`
+	Number uint64 `json:"number"`
+}
+
 // member is what the scheduler knows about a daemon from its heartbeats.
 type member struct {
 	lastHeartbeat time.Time
@@ -62,9 +70,11 @@
 type hintsMessage struct {
 	// HeartbeatInterval is the interval at which daemons should send
 	// heartbeats.
-	HeartbeatInterval time.Duration                            `json:"every"`
-	Epoch             uint64                                   `json:"epoch"`
-	Hints             map[string]tanagerdispatch.AdmissionHint `json:"hints,omitempty"`
+	HeartbeatInterval time.Duration `json:"every"`
+	Epoch             uint64        `json:"epoch"`
+	// Broadcast numbers the messages of a term, from 1.
+	Broadcast uint64                                   `json:"broadcast"`
+	Hints     map[string]tanagerdispatch.AdmissionHint `json:"hints,omitempty"`
 	// Unchanged is set if the message has no hints, and those before it hold.
 	Unchanged bool `json:"unchanged,omitempty"`
 }
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -124,6 +124,7 @@
 	c.writer.progressInFlight--
 	if e.err == nil {
 		storeCallFinished{}.apply(c)
+		c.confirmAuthority(c.timer.Now().Add(-e.took))
 	} else {
 		c.writer.backoffUntil = c.timer.Now().Add(storeRetryDelay)
 		c.recordStoreError(e.err)
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -78,6 +78,9 @@
 	c.log.Debug().Str("event", "link_lost").Str("member", from).Bool("gone", exited).Send()
 	if exited {
 		delete(c.members, from)
+		if c.authority != nil {
+			c.authority.exited(from)
+		}
 	}
 	if exited && from == c.leader.holder.Member && from != c.exitedScheduler {
 		c.exitedScheduler = from
@@ -106,6 +109,13 @@
 		c.resetConnection(from, c.timer.Now())
 	}
 	now := c.timer.Now()
+	if from != c.member {
+		number := h.Followed.Number
+		if h.Followed.Epoch != c.cell.Epoch() {
+			number = 0
+		}
+		c.authority.followedBy(from, number, now)
+	}
 	c.members[from] = member{
 		lastHeartbeat:    now,
 		startedAt:        now.Add(-h.Uptime),
@@ -122,6 +132,10 @@
 	}
 	c.heartbeatInterval = min(h.HeartbeatInterval, largeCellHeartbeatFactor*baseHeartbeatInterval)
 	c.schedulerHeardAt = c.timer.Now()
+	c.followed = followedBroadcast{
+		Epoch:  h.Epoch,
+		Number: h.Broadcast,
+	}
 	if !h.Unchanged {
 		c.hints = h.Hints
 		c.hintsReceivedAt = c.schedulerHeardAt
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -23,6 +23,10 @@
 	intakeRevision int64
 	// workers is the listing of the workers' entries.
 	workers tanagerport.Page
+	// leader holds the items of the scheduler's keys, and requestedAt is when the
+	// listing that they are from was requested.
+	leader      []tanagerport.Item
+	requestedAt time.Time
 	// listings describes what was read, by prefix.
 	listings []listing
 }
@@ -56,6 +60,7 @@
 	c.termStartedAt = c.timer.Now()
 	c.loading = true
 	c.writer = newStoreWriter()
+	c.authority = newAuthority(c.termStartedAt)
 	c.members = make(map[string]member)
 	c.cell = tanagerdispatch.New(c.settings.Dispatch, c.leader.epoch, c.timer.Now())
 	c.log.Info().Str("event", "scheduler_start").Uint64("epoch", c.leader.epoch).Send()
@@ -82,6 +87,8 @@
 	state := &storedState{
 		progress:  make(map[tanagerwork.JobID]*tanagerwork.Progress),
 		revisions: make(map[tanagerwork.JobID]int64),
+
+		requestedAt: c.timer.Now(),
 	}
 	prefixes := []string{intakePrefix, outcomePrefix, leaderPrefix, c.ports.Decoder.WorkerPrefix()}
 	pages := make([]tanagerport.Page, len(prefixes))
@@ -133,6 +140,8 @@
 			return err
 		}
 		s.progress[id] = &progress
+	case item.Key == holderKey || item.Key == epochKey:
+		s.leader = append(s.leader, item)
 	case item.Key == rosterKey:
 		var roster rosterRecord
 		if err := tanagerwire.Decode(item.Value, &roster); err != nil {
@@ -154,6 +163,16 @@
 		return
 	}
 	now := c.timer.Now()
+	for _, item := range e.state.leader {
+		c.applyLeaderItem(item)
+	}
+	if !c.isCurrentTerm(e.term) {
+		// Another daemon was elected before the listing.
+		return
+	}
+	if c.isLeader() {
+		c.confirmAuthority(e.state.requestedAt)
+	}
 	workerUpdate{
 		page:     e.state.workers,
 		snapshot: true,
