Tell callers that a job is completed only when that is stored

The scheduler reported a completed job before its final state was stored if that write had been due for 100 ms while another call to the store had succeeded within 0.5 s. A scheduler that has just been cut off from the store looks the same as one with a slow store. It told its callers of ends that only it and the workers knew; when such a worker crashed or was not reached in time, the successor knew nothing of the end and ran the task again, 7 to 12 s later. Class of fault: a fact is told to others before it is durable.

A final state is reported when it is stored, without an exception. With a slow store callers learn of it later by the time of one write.

TestCompletionIsReportedBeforeASlowWrite asked for the fault: one of its four cases expected "completed" before the write. TestCompletionIsReportedOnlyWhenStored replaces it, with the store up and down, at three ages, before and after the write; it failed before, 200 ms after the end with the store up.

--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -412,16 +412,6 @@
 	return j.state, true
 }
 
-// UnstoredCompletion reports whether a job has completed and its state is not in
-// the store yet, and since when.
-func (c *Cell) UnstoredCompletion(id tanagerwork.JobID) (time.Time, bool) {
-	j, known := c.jobs[id]
-	if !known || j.state != tanagerwork.Completed || j.storedVersion >= j.progressVersion {
-		return time.Time{}, false
-	}
-	return j.endedAt, true
-}
-
 // Pending returns, by queue, the number of jobs of which no task has started, for
 // the queues that have such jobs. Recurring jobs are not counted.
 func (c *Cell) Pending() map[string]int {
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -476,19 +476,5 @@
 		return response
 	}
 	response.State, response.Known = c.cell.State(id)
-	if endedAt, unstored := c.cell.UnstoredCompletion(id); unstored && c.storeIsSlow(endedAt) {
-		response.State = tanagerwork.Completed
-	}
 	return response
 }
-
-// storeIsSlow reports whether a write that has been due since the given time is
-// late although the store answers other calls. The state of a job that completed
-// then is reported before it is stored. Its workers keep the ends until the write
-// is done, and report them to a successor, so the result is lost only if the
-// scheduler and such a worker fail during that write. In an outage, which can
-// last for seconds, nothing is reported before it is stored.
-func (c *control) storeIsSlow(since time.Time) bool {
-	now := c.timer.Now()
-	return c.storeUp && now.Sub(since) > slowWriteThreshold && now.Sub(c.lastStoreSuccess) < maxStoreSuccessAge
-}
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -79,11 +79,6 @@
 	// progressWriteInterval separates writes of progress, so that several
 	// changes share a transaction.
 	progressWriteInterval = 30 * time.Millisecond
-	// slowWriteThreshold is the age of an unfinished write of progress beyond
-	// which the store counts as slow. maxStoreSuccessAge is the age up to which a
-	// successful call shows that the store answers.
-	slowWriteThreshold = 100 * time.Millisecond
-	maxStoreSuccessAge = 500 * time.Millisecond
 	// maxProgressInFlight bounds the concurrent transactions of progress. It is
 	// reached only with a slow store, where ended jobs would wait for a free one.
 	maxProgressInFlight = 16
--- a/tanagerd/tanagercell/state_test.go
+++ b/tanagerd/tanagercell/state_test.go
@@ -65,29 +65,27 @@
 	c.cell.HandlePollResponse(now, tanagerdispatch.PollOrder{Worker: start.Worker}, now, report, nil)
 }
 
-// A completed job is reported before it is stored only while the store answers
-// and the write is late. In an outage it counts as running until it is stored.
-func TestCompletionIsReportedBeforeASlowWrite(t *testing.T) {
+// Guards against a job that callers are told is completed while only the scheduler
+// and a worker know it: both failed, and the successor ran its tasks again.
+func TestCompletionIsReportedOnlyWhenStored(t *testing.T) {
 	const id = "0000000000000001"
-	for name, tc := range map[string]struct {
-		writeAge, successAge time.Duration
-		storeUp              bool
-		want                 tanagerwork.State
-	}{
-		"write not late":        {writeAge: slowWriteThreshold, storeUp: true, want: tanagerwork.Running},
-		"slow store":            {writeAge: 2 * slowWriteThreshold, storeUp: true, want: tanagerwork.Completed},
-		"store fails":           {writeAge: 2 * slowWriteThreshold, storeUp: false, want: tanagerwork.Running},
-		"store does not answer": {writeAge: time.Second, successAge: maxStoreSuccessAge, storeUp: true, want: tanagerwork.Running},
-	} {
-		c := newTestControl(t)
-		c.becomeScheduler(1)
-		completeJob(t, c, id)
-		c.timer.(*tanagertimer.Manual).Advance(tc.writeAge)
-		c.storeUp = tc.storeUp
-		c.lastStoreSuccess = c.timer.Now().Add(-tc.successAge)
-		response := c.jobState(id, 1)
-		qt.Check(t, response.Known, qt.IsTrue)
-		qt.Check(t, response.State, qt.Equals, tc.want, qt.Commentf("%s", name))
+	for _, storeUp := range []bool{true, false} {
+		for _, age := range []time.Duration{0, 200 * time.Millisecond, time.Second} {
+			c := newTestControl(t)
+			c.becomeScheduler(1)
+			completeJob(t, c, id)
+			c.timer.(*tanagertimer.Manual).Advance(age)
+			c.storeUp = storeUp
+			c.lastStoreSuccess = c.timer.Now()
+			unstored := c.jobState(id, 1)
+			comment := qt.Commentf("store up: %v, %v after the end", storeUp, age)
+			qt.Check(t, unstored.Known, qt.IsTrue, comment)
+			qt.Check(t, unstored.State, qt.Equals, tanagerwork.Running, comment)
+			for _, s := range c.cell.TakeSnapshots(1) {
+				c.cell.SnapshotWritten(s.Job, s.Version, true)
+			}
+			qt.Check(t, c.jobState(id, 1).State, qt.Equals, tanagerwork.Completed, comment)
+		}
 	}
 }
 
