Count a job as pending until a worker has started one of its tasks

A job counted as started when the start was sent. Starts that get no response are repeated, stopped and placed anew, for as long as the workers' leases last.

A job has started when a worker accepts a start of it or reports a run or an end. A successor shows a job with stored starts as running at once.

TestJobIsPendingUntilAWorkerHasStartedIt failed before: none pending after a start without a response.

--- a/tanager/tanagerdispatch/cell_test.go
+++ b/tanager/tanagerdispatch/cell_test.go
@@ -466,3 +466,16 @@
 	h.c.Assert(hints[testQueue].Others.Closed, qt.IsFalse)
 	h.c.Assert(hints[testQueue].Others.Wait, qt.Equals, time.Duration(0))
 }
+
+// Guards against jobs that wait for their start to reach a worker and are not counted
+// as pending.
+func TestJobIsPendingUntilAWorkerHasStartedIt(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	start := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.cell.HandleStartResponse(h.now, start, tanagerport.Response{}, noResponse)
+	h.c.Assert(h.cell.Pending()[testQueue], qt.Equals, 1)
+	h.accept(h.tick(20 * time.Millisecond).Starts[0])
+	h.c.Assert(h.cell.Pending()[testQueue], qt.Equals, 0)
+}
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -190,6 +190,9 @@
 	c.createOccurrences(now, j)
 	if progress != nil {
 		j.started = progress.Started
+		if j.started {
+			j.state = tanagerwork.Running
+		}
 		c.restore(j, progress)
 	}
 	c.logEvent(LogEvent{
@@ -387,7 +390,7 @@
 	return true
 }
 
-// markStarted records that a task of a job has been started.
+// markStarted records that a worker has started a task of a job.
 func (c *Cell) markStarted(j *job) {
 	if j.state == tanagerwork.Queued {
 		j.state = tanagerwork.Running
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -138,6 +138,7 @@
 	if a.startedAt.IsZero() {
 		a.startedAt = c.now
 	}
+	c.markStarted(a.step.job)
 	if a.step.spec.Gang && a.showsWork(active) {
 		a.step.gang.assembly.working = true
 	}
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -69,7 +69,6 @@
 		Age:    c.now.Sub(s.job.record.Arrived),
 	})
 	c.sendStart(a)
-	c.markStarted(s.job)
 }
 
 func (c *Cell) sendStart(a *attempt) {
@@ -137,6 +136,7 @@
 	if a.startedAt.IsZero() {
 		a.startedAt = c.now
 	}
+	c.markStarted(a.step.job)
 }
 
 // startRefused applies a status that proves that this order has started nothing.
