Keep jobs that are accepted under the epoch of a scheduler's next term

Suspected only: a job can be lost. A scheduler whose lease has ended is elected again and keeps its state. Another daemon that hears of the new epoch first can store a job under it and tell the scheduler before the scheduler knows the result of its own election; such a job was taken for another scheduler's and dropped. The watch of the intake shows it once more, and may be as early.

The jobs of later epochs are kept until the epoch is raised or the term ends.

TestJobOfTheNextEpochIsKept failed before: the job was not known.

--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -72,6 +72,8 @@
 	authority *authority
 	// followed is the last broadcast of a scheduler that this daemon has received.
 	followed followedBroadcast
+	// laterJobs are jobs that were accepted under a later epoch than that of the term.
+	laterJobs []jobAdded
 	// lastTermEpoch is the epoch of the present or last term. It is served once.
 	lastTermEpoch uint64
 	// termStartedAt is the start of the current or last term; announceTo lists
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -414,3 +414,32 @@
 	q.Assert(c.cell, qt.IsNotNil)
 	q.Assert(c.cell.Epoch(), qt.Equals, uint64(2))
 }
+
+// Guards against a job that is lost to a scheduler that is elected again: the job was
+// accepted under the new epoch, and became known before the result of the election.
+func TestJobOfTheNextEpochIsKept(t *testing.T) {
+	c := newTestControl(t)
+	c.becomeScheduler(1)
+	const id = "0000000000000001"
+	jobAdded{record: tanagerwork.Record{
+		ID:    id,
+		Queue: "q",
+		Epoch: 2,
+		Spec: tanagerwork.Spec{Steps: []tanagerwork.Step{{
+			TaskCount: 1,
+			Resources: tanagerwork.Resources{MilliCPU: 1000},
+			Estimate:  time.Second,
+		}}},
+	}}.apply(c)
+	q := qt.New(t)
+	q.Assert(c.jobState(id, 1).Known, qt.IsFalse)
+	campaignFinished{result: electionResult{
+		holder: holderRecord{
+			Member: self,
+			Epoch:  2,
+		},
+		epochRevision:  20,
+		holderRevision: 20,
+	}}.apply(c)
+	q.Assert(c.jobState(id, 1).Known, qt.IsTrue)
+}
--- a/tanagerd/tanagercell/election.go
+++ b/tanagerd/tanagercell/election.go
@@ -122,6 +122,11 @@
 func (c *control) raiseEpoch() {
 	c.lastTermEpoch = c.leader.epoch
 	c.cell.RaiseEpoch(c.leader.epoch)
+	later := c.laterJobs
+	c.laterJobs = nil
+	for _, j := range later {
+		j.apply(c)
+	}
 }
 
 // stepDown ends this daemon's term and discards the cell.
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -61,6 +61,7 @@
 	c.loading = true
 	c.writer = newStoreWriter()
 	c.authority = newAuthority(c.termStartedAt)
+	c.laterJobs = nil
 	c.members = make(map[string]member)
 	c.cell = tanagerdispatch.New(c.settings.Dispatch, c.leader.epoch, c.timer.Now())
 	c.log.Info().Str("event", "scheduler_start").Uint64("epoch", c.leader.epoch).Send()
@@ -252,6 +253,9 @@
 	case c.cell == nil:
 	case c.loading:
 		c.deferred = append(c.deferred, e)
+	case e.record.Epoch > c.cell.Epoch():
+		// The election that this daemon has not heard of yet may be its own.
+		c.laterJobs = append(c.laterJobs, e)
 	default:
 		c.cell.AddJob(c.timer.Now(), e.record, nil)
 	}
