Count the daemons that a predecessor knew, and the time of a write's call

Suspected only, found in review: the right to extend leases was confirmed too long and by too few. And "all other daemons" were those that had sent heartbeats in this term: a scheduler that had heard of none had no limit at all, and one that another daemon had never followed did not count that one, nor a process that had been started in place of one that exited.

The event carries the time of the call. The roster in the store names the daemons that may be elected, the scheduler included, and a successor counts them; who has exited is forgotten with the next confirmation of the store; without any other daemon only the store counts.

TestWriteBeforeAPauseConfirmsNothingLater and TestElectorateOfPredecessorCounts failed before. In TestAuthorityEndsWithoutStoreAndFollowers two expected times change, both to earlier ones: without followers, and after an exit.

--- a/tanagerd/tanagercell/authority.go
+++ b/tanagerd/tanagercell/authority.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"tanagersail.example/tanager/tanagerdispatch"
@@ -17,7 +18,8 @@
 //   - the store has confirmed its lease or a write under its epoch; the time is that
 //     at which the call was sent;
 //   - or every other daemon still followed it: a daemon that has been elected sends no
-//     heartbeats to another. A heartbeat names the last broadcast that the daemon has
+//     heartbeats to another. The daemons are those that have sent heartbeats in this
+//     term and those that the predecessor has stored in the roster. A heartbeat names the last broadcast that the daemon has
 //     received, and the time is that at which this broadcast was sent, so that a
 //     heartbeat that was delayed, or read after a pause, counts as old.
 //
@@ -26,8 +28,9 @@
 const (
 	// broadcastHistory is the number of broadcasts whose times are kept, some seconds.
 	broadcastHistory = 64
-	// electorateDelay is how long after the start of a term the daemons that have sent
-	// heartbeats are taken to be all: several intervals of the largest cell.
+	// electorateDelay is how long after the start of a term the daemons that the
+	// predecessor has stored or that have sent heartbeats are taken to be all: several
+	// intervals of the largest cell.
 	electorateDelay = 2 * time.Second
 	// followerRetention is how long a silent daemon may still be elected as far as this
 	// scheduler knows. It is forgotten only while the store confirms the lease.
@@ -55,6 +58,8 @@
 	// followedAt is the latest time at which the daemon is known to have followed this
 	// scheduler in its present epoch.
 	followedAt time.Time
+	// exited is set once the process has exited. Another may have been started there.
+	exited bool
 }
 
 func newAuthority(now time.Time) *authority {
@@ -72,7 +77,7 @@
 	}
 	a.confirmedAt = sentAt
 	for name, f := range a.followers {
-		if now.Sub(f.heardAt) > followerRetention {
+		if f.exited || now.Sub(f.heardAt) > followerRetention {
 			delete(a.followers, name)
 		}
 	}
@@ -111,13 +116,38 @@
 	}
 }
 
-// exited records that a daemon's process has exited.
-func (a *authority) exited(name string) { delete(a.followers, name) }
+// exited records that a daemon's process has exited. It is forgotten with the next
+// confirmation of the store: its next process may be elected without having followed.
+func (a *authority) exited(name string) {
+	if f, known := a.followers[name]; known {
+		f.exited = true
+		a.followers[name] = f
+	}
+}
+
+// addElectorate adds the daemons that a predecessor has stored.
+func (a *authority) addElectorate(names []string, self string, now time.Time) {
+	for _, name := range names {
+		if _, known := a.followers[name]; !known && name != self {
+			a.followers[name] = follower{heardAt: now}
+		}
+	}
+}
+
+// electorate returns the names of the daemons that may be elected, sorted.
+func (a *authority) electorate() []string {
+	names := make([]string, 0, len(a.followers))
+	for name := range a.followers {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
 
 // until returns the time until which the scheduler may extend leases and start tasks.
 func (a *authority) until(now time.Time) time.Time {
 	certain := a.confirmedAt
-	if now.Sub(a.termStartedAt) >= electorateDelay {
+	if now.Sub(a.termStartedAt) >= electorateDelay && len(a.followers) > 0 {
 		followed := now
 		for _, f := range a.followers {
 			if f.followedAt.Before(followed) {
--- a/tanagerd/tanagercell/authority_test.go
+++ b/tanagerd/tanagercell/authority_test.go
@@ -23,8 +23,8 @@
 	a := newAuthority(start)
 	at := func(d time.Duration) time.Time { return start.Add(d) }
 	a.confirm(at(time.Second), at(time.Second))
-	// Without any other daemon nobody else can be elected.
-	q.Assert(a.until(at(time.Minute)), qt.Equals, at(time.Minute+tanagerdispatch.RenewalWindow))
+	// A scheduler that has heard of no other daemon may be cut off from all.
+	q.Assert(a.until(at(time.Minute)), qt.Equals, at(time.Second+tanagerdispatch.RenewalWindow))
 	first := a.nextBroadcast(at(3 * time.Second))
 	a.followedBy(peerOne, first, at(4*time.Second))
 	a.followedBy(peerTwo, 0, at(4*time.Second))
@@ -38,6 +38,9 @@
 	second := a.nextBroadcast(at(20 * time.Second))
 	a.followedBy(peerOne, second, at(21*time.Second))
 	a.exited(peerTwo)
+	// Its next process may have been elected until the store confirms that it was not.
+	q.Assert(a.until(at(21*time.Second)), qt.Equals, at(3*time.Second+tanagerdispatch.RenewalWindow))
+	a.confirm(at(4*time.Second), at(21*time.Second))
 	q.Assert(a.until(at(21*time.Second)), qt.Equals, at(20*time.Second+tanagerdispatch.RenewalWindow))
 	a.followedBy("10.0.0.2:1/again", second, at(22*time.Second))
 	q.Assert(a.followers, qt.HasLen, 1)
@@ -102,3 +105,44 @@
 	q.Assert(c.cell, qt.IsNil)
 	q.Assert(c.leader.holder.Member, qt.Equals, "10.0.0.2:1/other")
 }
+
+// Guards against a scheduler that was paused after a write of its was answered, and takes
+// the end of the pause for the time of the write.
+func TestWriteBeforeAPauseConfirmsNothingLater(t *testing.T) {
+	c := newTestControl(t)
+	c.becomeScheduler(1)
+	sentAt := c.timer.Now()
+	written := progressWritten{
+		term:   c.term,
+		sentAt: sentAt,
+		took:   20 * time.Millisecond,
+	}
+	c.advance(10 * time.Second)
+	c.writer.progressInFlight++
+	written.apply(c)
+	qt.Assert(t, c.authority.confirmedAt, qt.Equals, sentAt)
+}
+
+// Guards against a successor that has never heard of a daemon which its predecessor knew,
+// and which is elected while the two cannot reach each other.
+func TestElectorateOfPredecessorCounts(t *testing.T) {
+	c := newTestControl(t)
+	c.applyLeaderItem(epochItem(2, 20))
+	c.applyLeaderItem(holderItem(self, 2, 20))
+	start := c.timer.Now()
+	storedStateLoaded{
+		term: c.term,
+		state: &storedState{
+			daemons:     []string{peerOne, peerTwo, self},
+			requestedAt: start,
+		},
+	}.apply(c)
+	q := qt.New(t)
+	q.Assert(c.authority.electorate(), qt.DeepEquals, []string{peerOne, peerTwo})
+	c.receiveHeartbeat(peerOne, heartbeat{Followed: followedBroadcast{
+		Epoch:  2,
+		Number: c.authority.nextBroadcast(start),
+	}})
+	c.advance(time.Minute)
+	q.Assert(c.authority.until(c.timer.Now()), qt.Equals, start.Add(tanagerdispatch.RenewalWindow))
+}
--- a/tanagerd/tanagercell/leader.go
+++ b/tanagerd/tanagercell/leader.go
@@ -24,6 +24,8 @@
 
 type rosterRecord struct {
 	Workers []string `json:"workers"`
+	// Daemons are those that may be elected, as far as the scheduler knows.
+	Daemons []string `json:"daemons,omitempty"`
 }
 
 // leaderState is what a daemon knows about the scheduler from the store.
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -24,6 +25,8 @@
 	// rosterRevision is the last known revision of the roster's key.
 	rosterRevision int64
 	rosterInFlight bool
+	// storedDaemons are the daemons in the stored roster.
+	storedDaemons []string
 	// intakeRevision is the store's revision from which the intake was read at the
 	// takeover. removals holds, by key, the revisions at which this scheduler has
 	// removed jobs, until a later state of the intake has been read.
@@ -74,6 +77,7 @@
 			revision, items, err := c.ports.Store.Commit(c.ctx, t)
 			c.metrics.ObserveOrder(c.ctx, "progress", c.timer.Now().Sub(now))
 			c.post(progressWritten{
+				sentAt:    now,
 				took:      c.timer.Now().Sub(now),
 				term:      term,
 				snapshots: snapshots,
@@ -113,6 +117,7 @@
 	snapshots []tanagerdispatch.Snapshot
 	revision  int64
 	items     []tanagerport.Item
+	sentAt    time.Time
 	took      time.Duration
 	err       error
 }
@@ -124,7 +129,7 @@
 	c.writer.progressInFlight--
 	if e.err == nil {
 		storeCallFinished{}.apply(c)
-		c.confirmAuthority(c.timer.Now().Add(-e.took))
+		c.confirmAuthority(e.sentAt)
 	} else {
 		c.writer.backoffUntil = c.timer.Now().Add(storeRetryDelay)
 		c.recordStoreError(e.err)
@@ -169,14 +174,15 @@
 	}
 }
 
-// writeRoster stores the workers that a successor has to account for. A worker
-// gets tasks only after it is in the stored roster.
+// writeRoster stores the workers that a successor has to account for, and the daemons
+// that may be elected. A worker gets tasks only after it is in the stored roster.
 func (c *control) writeRoster() {
 	w := c.writer
 	if w.rosterInFlight || c.timer.Now().Before(w.backoffUntil) {
 		return
 	}
-	if !c.cell.RosterChanged() {
+	daemons := append(c.authority.electorate(), c.member)
+	if !c.cell.RosterChanged() && slices.Equal(daemons, w.storedDaemons) {
 		return
 	}
 	ids := c.cell.Roster()
@@ -190,8 +196,11 @@
 			},
 		},
 		Writes: []tanagerport.Write{{
-			Key:   rosterKey,
-			Value: tanagerwire.Encode(rosterRecord{Workers: ids}),
+			Key: rosterKey,
+			Value: tanagerwire.Encode(rosterRecord{
+				Workers: ids,
+				Daemons: daemons,
+			}),
 		}},
 	}
 	term := c.term
@@ -200,6 +209,7 @@
 		c.post(rosterWritten{
 			term:     term,
 			ids:      ids,
+			daemons:  daemons,
 			revision: revision,
 			items:    items,
 			err:      err,
@@ -210,6 +220,7 @@
 type rosterWritten struct {
 	term     uint64
 	ids      []string
+	daemons  []string
 	revision int64
 	items    []tanagerport.Item
 	err      error
@@ -222,6 +233,7 @@
 	c.writer.rosterInFlight = false
 	if e.err == nil {
 		c.writer.rosterRevision = e.revision
+		c.writer.storedDaemons = e.daemons
 		c.cell.RosterStored(e.ids)
 		return
 	}
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -18,6 +18,7 @@
 	revisions      map[tanagerwork.JobID]int64
 	cancelled      []tanagerwork.JobID
 	roster         []string
+	daemons        []string
 	rosterRevision int64
 	// intakeRevision is the store's revision from which the intake was read.
 	intakeRevision int64
@@ -149,6 +150,7 @@
 			return err
 		}
 		s.roster = roster.Workers
+		s.daemons = roster.Daemons
 		s.rosterRevision = item.Revision
 	}
 	return nil
@@ -174,6 +176,8 @@
 	if c.isLeader() {
 		c.confirmAuthority(e.state.requestedAt)
 	}
+	c.authority.addElectorate(e.state.daemons, c.member, now)
+	c.writer.storedDaemons = e.state.daemons
 	workerUpdate{
 		page:     e.state.workers,
 		snapshot: true,
