Tell late responses by the time of their calls, not by the gap between ticks

Suspected only, found in review: since a scheduler whose ticks take over a second acknowledged nothing any more, since each tick counted as the end of a pause; the ends stayed with the workers, which then answer each poll at once. And a pause within a tick was not noticed.

The goroutine of a poll notes when its response was read. It is late if the call took longer than the poll's wait and maxOrderDelay, or if the event waited longer than maxResponseDelay. Nothing is acknowledged by a late one.

TestNothingIsAcknowledgedByALateResponse and TestResponsesThatWaitedAreLate replace TestNothingIsAcknowledgedRightAfterAPause, which made the pause by the gap that no longer counts; they ask for the same, at both places where a response can wait.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -42,9 +42,6 @@
 	expired    expiredTurns
 	// assembling are the gangs that have started and are not known to work yet.
 	assembling []*step
-	// tickedAt is when the last tick began. resumedAt is when ticks began again after
-	// a pause of this process or a call of Tick that took long.
-	tickedAt, resumedAt time.Time
 	// authorityUntil is when the scheduler must stop extending leases and starting
 	// tasks; zero for never.
 	authorityUntil time.Time
@@ -334,10 +331,6 @@
 // and issues the orders that follow from them.
 func (c *Cell) Tick(now time.Time) {
 	c.now = now
-	if now.Sub(c.tickedAt) > maxTickGap {
-		c.resumedAt = now
-	}
-	c.tickedAt = now
 	c.expireLeases()
 	c.expirePredecessorLeases()
 	c.createDueOccurrences()
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -99,10 +99,10 @@
 // surelySameIncarnation reports whether a worker cannot have restarted and ended
 // runs since its last response. The numbers of ends start anew with each
 // incarnation, which a poll does not name: an acknowledgement would make the next
-// incarnation forget ends that it has not reported yet. A response to a poll from
-// before a pause of this process may have arrived at any time of the pause.
+// incarnation forget ends that it has not reported yet. A response that has waited to
+// be read may be from long before.
 func (c *Cell) surelySameIncarnation(w *worker) bool {
-	return w.synced && w.missedPolls == 0 && !w.answeredAt.Before(c.resumedAt) &&
+	return w.synced && w.missedPolls == 0 && !w.answeredLate &&
 		c.now.Sub(w.lastResponse) <= maxAcknowledgementDelay
 }
 
@@ -138,7 +138,7 @@
 	}
 	w.missedPolls = 0
 	w.lastResponse = now
-	w.answeredAt = sentAt
+	w.answeredLate = r.Late
 	w.nextPollAt = now.Add(minPollInterval)
 	if len(w.attempts) == 0 && len(r.Running) == 0 && len(r.Ended) == 0 {
 		w.nextPollAt = now.Add(max(c.idlePollPause, minPollInterval))
--- a/tanager/tanagerdispatch/poll_test.go
+++ b/tanager/tanagerdispatch/poll_test.go
@@ -155,43 +155,53 @@
 
 // Guards against a scheduler that was paused and acknowledges ends to the next
 // incarnation of a worker, by a response that had waited for it to go on.
-func TestNothingIsAcknowledgedRightAfterAPause(t *testing.T) {
+func TestNothingIsAcknowledgedByALateResponse(t *testing.T) {
 	h := newHarness(t, 1)
 	h.setWorkers(testWorker("a", 1))
 	h.sync()
 	start := h.submit(testRecord("01", testStep(1, 1000)))[0]
 	h.accept(start)
-	h.tick(minPollInterval)
 	ended := tanagerport.Report{Ended: []tanagerport.EndedRun{{
 		SequenceNumber: 40,
 		Task:           start.Start.Task,
 		Run:            start.Start.Run,
 		Reason:         tanagerport.EndedDone,
 	}}}
-	h.c.Assert(h.openPolls, qt.HasLen, 1)
-	sentAt := h.now
-	const pause = 3 * time.Second
-	h.now = h.now.Add(pause)
-	h.clock += pause
-	ended.Response = tanagerport.Response{
-		Status: tanagerport.Accepted,
-		Clock:  h.clock - pause,
-	}
-	ended.Incarnation = 1
-	h.cell.HandlePollResponse(h.now, h.openPolls[0], sentAt, ended, nil)
-	h.openPolls = nil
+	h.tick(minPollInterval)
+	ended.Late = true
+	h.respondToPolls(ended)
 	h.storeProgress()
-	h.tick(0)
 	for len(h.openPolls) == 0 {
 		h.tick(minPollInterval)
 	}
 	h.c.Assert(h.openPolls[0].Poll.Acknowledged, qt.Equals, int64(0))
+	ended.Late = false
 	h.respondToPolls(ended)
 	h.tick(minPollInterval)
 	h.c.Assert(h.openPolls, qt.HasLen, 1)
 	h.c.Assert(h.openPolls[0].Poll.Acknowledged, qt.Equals, int64(40))
 }
 
+// A scheduler whose ticks take over a second still acknowledges.
+func TestSlowTicksAcknowledge(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	start := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.accept(start)
+	h.tick(maxAcknowledgementDelay + 100*time.Millisecond)
+	h.respondToPolls(tanagerport.Report{Ended: []tanagerport.EndedRun{{
+		SequenceNumber: 40,
+		Task:           start.Start.Task,
+		Run:            start.Start.Run,
+		Reason:         tanagerport.EndedDone,
+	}}})
+	h.storeProgress()
+	h.tick(maxAcknowledgementDelay)
+	h.c.Assert(h.openPolls, qt.HasLen, 1)
+	h.c.Assert(h.openPolls[0].Poll.Acknowledged, qt.Equals, int64(40))
+}
+
 // Guards against an end that a report shows only after one with a higher number: it
 // was skipped and acknowledged, and its task ran again.
 func TestEndThatIsReportedAfterALaterOne(t *testing.T) {
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -51,9 +51,6 @@
 	// a poll that acknowledges its ends. It is below the time in which a worker
 	// restarts and ends a run.
 	maxAcknowledgementDelay = time.Second
-	// maxTickGap is the time between two ticks above which this process counts as
-	// paused: what it reads next may have been sent long before.
-	maxTickGap = maxAcknowledgementDelay
 	// pollRetryDelay is multiplied by the number of failed polls in a row, at
 	// most 4, and delays the next poll.
 	pollRetryDelay = 150 * time.Millisecond
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -39,8 +39,8 @@
 	// respond have certainly ended; zero if there is no such incarnation.
 	attemptsExpireAt time.Time
 	lastResponse     time.Time
-	// answeredAt is when the poll that was answered last had been sent.
-	answeredAt time.Time
+	// answeredLate is set if the last response may have waited to be read.
+	answeredLate bool
 
 	// lastAlive is when the worker last responded to any call, and silentSince when
 	// a call after that first got no response. lastStartAt is when a start was last
--- a/tanager/tanagerport/worker.go
+++ b/tanager/tanagerport/worker.go
@@ -142,4 +142,7 @@
 	Ended       []EndedRun
 	// Complete is false if there are more ends than fit into one response.
 	Complete bool
+	// Late is set if the response may have waited to be read, as by a process that
+	// was paused.
+	Late bool
 }
--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -45,6 +45,7 @@
 				term:   term,
 				order:  o,
 				sentAt: sentAt,
+				readAt: c.timer.Now(),
 				report: report,
 				err:    err,
 			})
@@ -79,6 +80,10 @@
 // this process counts as paused: what the decision was based on may be out of date.
 const maxOrderDelay = 500 * time.Millisecond
 
+// maxResponseDelay is the time between a response and its application above which
+// this process counts as paused.
+const maxResponseDelay = time.Second
+
 // sendStart sends a start that was decided on the given time ago. After a pause it
 // sends nothing: another scheduler may have started the task meanwhile.
 func (c *control) sendStart(o tanagerdispatch.StartOrder, age time.Duration) (tanagerport.Response, error) {
@@ -126,16 +131,25 @@
 }
 
 type pollCallFinished struct {
-	term   uint64
-	order  tanagerdispatch.PollOrder
-	sentAt time.Time
-	report tanagerport.Report
-	err    error
+	term  uint64
+	order tanagerdispatch.PollOrder
+	// sentAt and readAt are the times of the call and of its response.
+	sentAt, readAt time.Time
+	report         tanagerport.Report
+	err            error
+}
+
+// late reports whether the response may have waited, in the network's buffers or in
+// this process's queue, for longer than a poll or an event takes.
+func (e pollCallFinished) late(now time.Time) bool {
+	return e.readAt.Sub(e.sentAt) > e.order.Poll.Wait+maxOrderDelay || now.Sub(e.readAt) > maxResponseDelay
 }
 
 func (e pollCallFinished) apply(c *control) {
 	if c.isCurrentTerm(e.term) {
-		c.cell.HandlePollResponse(c.timer.Now(), e.order, e.sentAt, e.report, e.err)
+		now := c.timer.Now()
+		e.report.Late = e.late(now)
+		c.cell.HandlePollResponse(now, e.order, e.sentAt, e.report, e.err)
 	}
 }
 
--- a/tanagerd/tanagercell/execute_test.go
+++ b/tanagerd/tanagercell/execute_test.go
@@ -53,3 +53,26 @@
 	}
 	qt.Assert(t, workers.polls, qt.DeepEquals, []tanagerport.Poll{order.Poll, {}})
 }
+
+// Guards against a response to a poll that lay unread in a paused process and counts as
+// fresh.
+func TestResponsesThatWaitedAreLate(t *testing.T) {
+	sentAt := time.Unix(1_700_000_000, 0)
+	const wait = time.Second
+	for name, tc := range map[string]struct {
+		read, applied time.Duration
+		want          bool
+	}{
+		"prompt":                    {read: wait, applied: wait},
+		"late in the network":       {read: wait + maxOrderDelay + time.Millisecond, applied: wait + maxOrderDelay + time.Millisecond, want: true},
+		"queue of a slow process":   {read: wait, applied: wait + maxResponseDelay},
+		"queue of a paused process": {read: wait, applied: wait + maxResponseDelay + time.Millisecond, want: true},
+	} {
+		e := pollCallFinished{
+			order:  tanagerdispatch.PollOrder{Poll: tanagerport.Poll{Wait: wait}},
+			sentAt: sentAt,
+			readAt: sentAt.Add(tc.read),
+		}
+		qt.Check(t, e.late(sentAt.Add(tc.applied)), qt.Equals, tc.want, qt.Commentf("%s", name))
+	}
+}
