Wait for all ends of a predecessor's worker

Callers can see a task started after an end that is acknowledged later. A successor took the first report of a worker for all that it had to tell: if an inherited task had ended as done there and its end was not listed yet, the task started again. Class of fault: a part is taken for the whole.

The wait for a worker ends with its first complete report.

--- a/tanager/tanagerdispatch/incarnation_test.go
+++ b/tanager/tanagerdispatch/incarnation_test.go
@@ -66,3 +66,46 @@
 	h.setWorkers(testWorker("a", 7))
 	h.c.Assert(h.cell.workers["a"].incarnation, qt.Equals, int64(5))
 }
+
+// Guards against a task that a successor starts although its end is among those that a
+// worker has not listed yet, as a report holds a limited number.
+func TestSuccessorWaitsForAllEndsOfAWorker(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1))
+	h.cell.AddPredecessorWorkers(h.now, []string{"a"})
+	end := func(number int64, job tanagerwork.JobID) tanagerport.EndedRun {
+		return tanagerport.EndedRun{
+			SequenceNumber: number,
+			Task:           tanagerwork.TaskName{StepName: tanagerwork.StepName{Job: job}},
+			Run:            1,
+			Reason:         tanagerport.EndedDone,
+		}
+	}
+	report := tanagerport.Report{
+		Response: tanagerport.Response{
+			Status: tanagerport.Accepted,
+			Clock:  h.clock,
+		},
+		Incarnation: 1,
+	}
+	var ids []tanagerwork.JobID
+	for _, name := range []string{"01", "02"} {
+		record := testRecord(name, testStep(1, 1000))
+		record.Epoch = 1
+		h.cell.AddJob(h.now, record, nil)
+		ids = append(ids, record.ID)
+	}
+	h.tick(time.Millisecond)
+	report.Ended = []tanagerport.EndedRun{end(1, ids[0])}
+	h.cell.HandlePollResponse(h.now, h.openPolls[0], h.now, report, nil)
+	h.storeProgress()
+	h.openPolls = nil
+	h.c.Assert(h.tick(50*time.Millisecond).Starts, qt.HasLen, 0)
+	h.respondToPolls(tanagerport.Report{Ended: []tanagerport.EndedRun{end(2, ids[1])}})
+	h.c.Assert(h.tick(50*time.Millisecond).Starts, qt.HasLen, 0)
+	state, _ := h.cell.State(ids[1])
+	h.c.Assert(state, qt.Equals, tanagerwork.Running)
+	h.storeProgress()
+	state, _ = h.cell.State(ids[1])
+	h.c.Assert(state, qt.Equals, tanagerwork.Completed)
+}
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -153,6 +153,9 @@
 	}
 	c.applyEndedRuns(w, r.Ended)
 	c.reconcileRunning(w, r, sentAt)
+	if r.Complete {
+		delete(c.predecessorLeases, w.id)
+	}
 	w.reportedIdle = r.Complete && len(r.Running) == 0
 }
 
@@ -213,7 +216,6 @@
 	w.leaseEnd = max(w.leaseEnd, w.clock+c.settings.Lease)
 	w.nextPollAt = c.now
 	c.capacityVersion++
-	delete(c.predecessorLeases, w.id)
 	c.logEvent(LogEvent{
 		Name:        "worker_synced",
 		Worker:      w.id,
--- a/tanager/tanagerdispatch/predecessor.go
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -4,8 +4,8 @@
 
 // AddPredecessorWorkers names the workers on which a predecessor may have
 // started tasks. Tasks of inherited jobs that no worker reports as running wait
-// until each of these workers has responded to a poll of this epoch or has a lease
-// that has certainly expired.
+// until each of these workers has reported all its runs and ends to this epoch or has
+// a lease that has certainly expired.
 // AddPredecessorWorkers must be called before AddJob.
 //
 // The predecessor extends leases for at most RenewalWindow, see SetAuthority.
