Wait again for a worker that restarts while its predecessor may still act

Suspected only, found in review: two runs of a task at once. A worker that has reported to a successor refuses the predecessor's epoch, until it restarts. A predecessor that has not heard of the takeover may start tasks on the new incarnation for RenewalWindow after the takeover; the successor no longer waited for that worker.

Until then a restart puts the worker back among those that are waited for.

TestSuccessorWaitsForWorkerThatRestartsAfterItsReport failed before, as it does on the code of before this work.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -52,6 +52,8 @@
 	// have not reported yet, with the time at which their leases have expired at
 	// the latest.
 	predecessorLeases map[string]time.Time
+	// predecessorEndsAt is when a predecessor has certainly ceased to start tasks.
+	predecessorEndsAt time.Time
 	// earlyEnds are the ends of jobs that are not known yet.
 	earlyEnds map[tanagerwork.JobID][]*earlyEnd
 	advisers  []*adviser
--- a/tanager/tanagerdispatch/incarnation_test.go
+++ b/tanager/tanagerdispatch/incarnation_test.go
@@ -109,3 +109,23 @@
 	state, _ = h.cell.State(ids[1])
 	h.c.Assert(state, qt.Equals, tanagerwork.Completed)
 }
+
+// Guards against a predecessor that has not heard of the takeover and starts a task on a
+// worker that has restarted after its first report, and so refuses no epoch.
+func TestSuccessorWaitsForWorkerThatRestartsAfterItsReport(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.cell.AddPredecessorWorkers(h.now, []string{"a", "b"})
+	record := testRecord("01", testStep(1, 1000))
+	record.Epoch = 1
+	h.cell.AddJob(h.now, record, nil)
+	h.tick(time.Millisecond)
+	polls := h.openPolls
+	h.openPolls = nil
+	h.respondToPoll(pollOf(polls, "a"), tanagerport.Report{})
+	h.setWorkers(testWorker("a", 2), testWorker("b", 1))
+	h.respondToPoll(pollOf(polls, "b"), tanagerport.Report{})
+	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 0)
+	h.respondToPoll(pollOf(h.orders.Polls, "a"), tanagerport.Report{})
+	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
+}
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -171,7 +171,7 @@
 		record:    record,
 		queue:     c.findOrAddQueue(record.Queue, record.Service),
 		state:     tanagerwork.Queued,
-		inherited: record.Epoch < c.epoch && len(c.predecessorLeases) > 0,
+		inherited: record.Epoch < c.epoch && (len(c.predecessorLeases) > 0 || now.Before(c.predecessorEndsAt)),
 	}
 	j.queue.adoptPolicy(record.Policy)
 	j.objective = j.queue.objective(&record.Spec)
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -64,6 +64,10 @@
 	w.reportedIdle = false
 	w.pollInFlight = false
 	w.nextPollAt = c.now
+	if c.now.Before(c.predecessorEndsAt) {
+		// The new incarnation does not refuse the predecessor's epoch yet.
+		c.awaitPredecessorLease(w.id)
+	}
 }
 
 // loseAttempts removes all attempts of a worker after their runs have certainly
--- a/tanager/tanagerdispatch/predecessor.go
+++ b/tanager/tanagerdispatch/predecessor.go
@@ -11,12 +11,18 @@
 // The predecessor extends leases for at most RenewalWindow, see SetAuthority.
 func (c *Cell) AddPredecessorWorkers(now time.Time, workers []string) {
 	c.now = now
-	lease := time.Duration(float64(c.settings.Lease) * (1 + clockDrift))
+	c.predecessorEndsAt = now.Add(RenewalWindow)
 	for _, id := range workers {
-		c.predecessorLeases[id] = now.Add(RenewalWindow + lease + leaseExpiryMargin)
+		c.awaitPredecessorLease(id)
 	}
 }
 
+// awaitPredecessorLease makes the tasks of inherited jobs wait for a worker.
+func (c *Cell) awaitPredecessorLease(id string) {
+	lease := time.Duration(float64(c.settings.Lease) * (1 + clockDrift))
+	c.predecessorLeases[id] = c.predecessorEndsAt.Add(lease + leaseExpiryMargin)
+}
+
 // expirePredecessorLeases stops waiting for workers whose leases from a
 // predecessor have expired.
 func (c *Cell) expirePredecessorLeases() {
@@ -40,7 +46,8 @@
 	if len(c.predecessorLeases) > 0 {
 		return false
 	}
-	j.inherited = false
+	// Until the predecessor has ended, a worker that restarts has to be waited for again.
+	j.inherited = c.now.Before(c.predecessorEndsAt)
 	return true
 }
 
