Let a worker's answer decide which of its incarnations lives

Found in review of: an entry of a former incarnation that arrives late made the present one count as ended. All that it reported was dropped, it was polled with each tick, and it got no work for the rest of the term. An entry that names no incarnation, as of a foreign writer, replaced that of a known worker.

A response to a poll that was sent after the replacement proves that the incarnation lives. An entry without an incarnation changes nothing.

TestLateEntryOfFormerIncarnation and TestEntryWithoutIncarnationIsIgnored failed before.

--- a/tanager/tanagerdispatch/incarnation_test.go
+++ b/tanager/tanagerdispatch/incarnation_test.go
@@ -129,3 +129,31 @@
 	h.respondToPoll(pollOf(h.orders.Polls, "a"), tanagerport.Report{})
 	h.c.Assert(h.tick(20*time.Millisecond).Starts, qt.HasLen, 1)
 }
+
+// Guards against a worker that is lost because an entry of its former incarnation arrived
+// late: the present one, which goes on to answer, was taken for ended.
+func TestLateEntryOfFormerIncarnation(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 7))
+	h.sync()
+	h.setWorkers(testWorker("a", 5))
+	polls := 0
+	for range 100 {
+		polls += len(h.tick(20 * time.Millisecond).Polls)
+		h.respondToPolls(tanagerport.Report{Incarnation: 7})
+	}
+	h.c.Assert(h.cell.workers["a"].incarnation, qt.Equals, int64(7))
+	h.c.Assert(h.cell.workers["a"].synced, qt.IsTrue)
+	h.c.Assert(polls <= int(2*time.Second/minPollInterval), qt.IsTrue)
+	h.c.Assert(h.submit(testRecord("01", testStep(1, 1000))), qt.HasLen, 1)
+}
+
+// An entry that names no incarnation changes nothing of a worker that has one.
+func TestEntryWithoutIncarnationIsIgnored(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 7))
+	foreign := testWorker("a", 0)
+	foreign.Service = "other"
+	h.setWorkers(foreign)
+	h.c.Assert(h.cell.workers["a"].entry.Service, qt.Equals, testService)
+}
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -51,6 +51,7 @@
 		w.ended = make(map[int64]bool)
 	}
 	w.ended[w.incarnation] = true
+	w.replacedAt = c.now
 	w.incarnation = incarnation
 	w.synced = false
 	w.attemptsExpireAt = c.now.Add(2*c.settings.Lease + leaseExpiryMargin)
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -134,7 +134,12 @@
 		return
 	}
 	if w.ended[r.Incarnation] {
-		return
+		w.nextPollAt = now.Add(minPollInterval)
+		if !sentAt.After(w.replacedAt) {
+			return
+		}
+		// The incarnation has answered a poll that was sent when it was taken for ended.
+		delete(w.ended, r.Incarnation)
 	}
 	w.missedPolls = 0
 	w.lastResponse = now
--- a/tanager/tanagerdispatch/worker.go
+++ b/tanager/tanagerdispatch/worker.go
@@ -15,8 +15,10 @@
 	incarnation int64
 	// ended holds the former incarnations. An incarnation is named by a time of day,
 	// which may have been put back before a restart, so a lower one can be the later.
-	ended map[int64]bool
-	entry tanagerport.WorkerEntry
+	// It was last replaced at replacedAt.
+	ended      map[int64]bool
+	replacedAt time.Time
+	entry      tanagerport.WorkerEntry
 	// listed workers are in the latest list of workers; inRoster workers are also
 	// in the stored roster, so that a successor waits for them. leavingRoster
 	// workers were left out of the roster that was last to be stored.
@@ -141,7 +143,7 @@
 	if w == nil {
 		w = c.newWorker(e)
 	}
-	if w.ended[e.Incarnation] {
+	if w.ended[e.Incarnation] || e.Incarnation == 0 && w.incarnation != 0 {
 		return
 	}
 	if w.replacedBy(e.Incarnation) {
