Forget the orphans of a worker whose lease has expired

A worker that had reported a run of a job that was not known, and whose lease has expired since, kept the run among its orphans. A job that was added then adopted it, on a worker without a lease, which no further expiry ends.

Orphans are lost with the attempts.

TestOrphanOfExpiredWorkerIsForgotten failed before: no start.

--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -71,8 +71,8 @@
 	}
 }
 
-// loseAttempts removes all attempts of a worker after their runs have certainly
-// ended, because the worker has restarted or its lease has expired.
+// loseAttempts removes all attempts and orphans of a worker after their runs have
+// certainly ended, because the worker has restarted or its lease has expired.
 func (c *Cell) loseAttempts(w *worker, reason string, restarted bool) {
 	c.suspectAttempts(w, restarted)
 	for _, a := range slices.Clone(w.attempts) {
@@ -87,6 +87,8 @@
 		})
 		c.loseAttempt(a)
 	}
+	w.orphans = nil
+	w.setOrphanUsage(tanagerwork.Resources{})
 }
 
 // loseAttempt removes an attempt whose run has certainly ended without a reported
--- a/tanager/tanagerdispatch/orphan_test.go
+++ b/tanager/tanagerdispatch/orphan_test.go
@@ -105,3 +105,26 @@
 	}
 	return PollOrder{}
 }
+
+// Guards against a task that never starts, since a run of it was reported by a worker
+// whose lease has expired before the job was known.
+func TestOrphanOfExpiredWorkerIsForgotten(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.tick(time.Millisecond)
+	record := testRecord("01", testStep(1, 1000))
+	record.Epoch = 1
+	polls := h.openPolls
+	h.openPolls = nil
+	h.respondToPoll(pollOf(polls, "a"), tanagerport.Report{Running: []tanagerport.ActiveRun{{
+		Task: tanagerwork.TaskName{StepName: tanagerwork.StepName{Job: record.ID}},
+		Run:  1,
+	}}})
+	h.respondToPoll(pollOf(polls, "b"), tanagerport.Report{})
+	for silentUntil := h.now.Add(2 * testSettings().Lease); h.now.Before(silentUntil); {
+		h.tick(50 * time.Millisecond)
+		h.failPoll("a")
+		h.respondToPolls(tanagerport.Report{})
+	}
+	h.c.Assert(h.submit(record), qt.HasLen, 1)
+}
