Restore stored occurrences whatever the time of day

Suspected only, found in review: an occurrence of a recurring job runs again. A successor whose clock is more than 10 s behind dropped the stored progress of occurrences that are not due for it. The bound is meant for what workers report.

TestStoredOccurrenceIsRestoredWhateverTheClock failed before, as it does on the code of before this work.

--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -222,8 +222,8 @@
 }
 
 // createOccurrencesThrough creates the steps of the occurrences up to one that a
-// scheduler has started, according to the store or to a worker. Its time may not
-// have come by the clock of this daemon.
+// scheduler has started, according to a worker. Its time may not have come by the
+// clock of this daemon.
 func (c *Cell) createOccurrencesThrough(j *job, occurrence int) {
 	for j.hasFutureOccurrence() && j.nextOccurrence <= occurrence &&
 		!j.nextDue().After(c.now.Add(maxClockDifference)) {
--- a/tanager/tanagerdispatch/occurrence_test.go
+++ b/tanager/tanagerdispatch/occurrence_test.go
@@ -55,3 +55,22 @@
 		})
 	}
 }
+
+// Guards against an occurrence that runs again although its end is stored, as the clock of
+// the successor is far behind.
+func TestStoredOccurrenceIsRestoredWhateverTheClock(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	record := testRecord("01", testStep(1, 1000))
+	record.Epoch = 1
+	record.Spec.Times = 1
+	record.Spec.Interval = time.Minute
+	record.Spec.FirstDue = h.now.Add(2 * maxClockDifference)
+	h.cell.AddJob(h.now, record, &tanagerwork.Progress{
+		State:   tanagerwork.Running,
+		Started: true,
+		Steps:   []tanagerwork.StepProgress{{AllDone: true}},
+	})
+	h.c.Assert(h.runIdle(3*maxClockDifference), qt.HasLen, 0)
+}
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -10,7 +10,9 @@
 // restore applies the stored progress of a job.
 func (c *Cell) restore(j *job, p *tanagerwork.Progress) {
 	for _, sp := range p.Steps {
-		c.createOccurrencesThrough(j, sp.Occurrence)
+		for j.hasFutureOccurrence() && j.nextOccurrence <= sp.Occurrence {
+			c.createNextOccurrence(j)
+		}
 		s := j.step(sp.Occurrence, sp.Step)
 		if s == nil {
 			continue
