Do not hold a start that was not sent against its worker

Found in review of: a start that a paused scheduler does not send counted as one that the worker's address had refused. The worker was taken for silent and avoided, though nobody had asked it.

The error of such a start says so, and the task is placed again.

TestStartThatWasNotSentIsPlacedAgain fails without the new case: the worker is avoided.

--- a/tanager/tanagerdispatch/member_test.go
+++ b/tanager/tanagerdispatch/member_test.go
@@ -95,3 +95,15 @@
 	out := h.tick(20 * time.Millisecond)
 	h.c.Assert(stoppedTasks(out.Stops), qt.DeepEquals, map[int]bool{0: true, 1: true})
 }
+
+// A start that a paused scheduler has not sent does not count against the worker.
+func TestStartThatWasNotSentIsPlacedAgain(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	start := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.cell.HandleStartResponse(h.now, start, tanagerport.Response{}, tanagerport.NotSent.New("paused"))
+	again := h.tick(2 * refusedStartDelay).Starts
+	h.c.Assert(again, qt.HasLen, 1)
+	h.c.Assert(again[0].Start.Run > start.Start.Run, qt.IsTrue)
+}
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -106,6 +106,8 @@
 		c.startAccepted(a)
 	case err == nil:
 		c.startRefused(a, order, response.Status)
+	case errorx.IsOfType(err, tanagerport.NotSent):
+		c.startNotSent(a)
 	case errorx.IsOfType(err, tanagerport.Refused):
 		w.recordSilent(now)
 		c.startUnsent(a, err)
@@ -193,6 +195,17 @@
 	c.discardUnstarted(a, "worker unreachable")
 }
 
+// startNotSent handles a start that this scheduler has not sent, as it was paused. It
+// says nothing of the worker.
+func (c *Cell) startNotSent(a *attempt) {
+	c.logAttempt("start_not_sent", a, "scheduler paused")
+	if a.startsSent > 1 {
+		c.stopAttempt(a, "scheduler paused, an earlier start got no response")
+		return
+	}
+	c.discardUnstarted(a, "scheduler paused")
+}
+
 // mayStartAgain reports whether the start of an attempt may be repeated. A worker
 // that has restarted may have crashed because of the start.
 func (a *attempt) mayStartAgain() bool {
--- a/tanager/tanagerport/doc.go
+++ b/tanager/tanagerport/doc.go
@@ -8,6 +8,8 @@
 // effect and therefore what may be done next:
 //
 //   - Refused: the call had no effect and may succeed later.
+//   - NotSent: the caller itself has not made the call, which says nothing of the
+//     other side.
 //   - OutcomeUnknown: the call may have been executed or may still be.
 //   - Conflict: a precondition of a transaction does not hold.
 //   - NotFound, Compacted: the object or its history no longer exists.
--- a/tanager/tanagerport/errors.go
+++ b/tanager/tanagerport/errors.go
@@ -8,6 +8,7 @@
 // The types of errors that calls return; the package comment describes them.
 var (
 	Refused        = Errors.NewType("refused", errorx.Temporary())
+	NotSent        = Errors.NewType("not_sent", errorx.Temporary())
 	OutcomeUnknown = Errors.NewType("unanswered", errorx.Timeout())
 	Conflict       = Errors.NewType("conflict")
 	NotFound       = Errors.NewType("not_found", errorx.NotFound())
--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -88,7 +88,7 @@
 // sends nothing: another scheduler may have started the task meanwhile.
 func (c *control) sendStart(o tanagerdispatch.StartOrder, age time.Duration) (tanagerport.Response, error) {
 	if age > maxOrderDelay {
-		return tanagerport.Response{}, tanagerport.Refused.New("start was decided on %v ago", age)
+		return tanagerport.Response{}, tanagerport.NotSent.New("start was decided on %v ago", age)
 	}
 	return c.ports.Workers.Start(c.ctx, o.Worker, o.Start)
 }
--- a/tanagerd/tanagercell/execute_test.go
+++ b/tanagerd/tanagercell/execute_test.go
@@ -41,7 +41,7 @@
 	_, err := c.sendStart(tanagerdispatch.StartOrder{}, maxOrderDelay)
 	qt.Assert(t, err, qt.IsNil)
 	_, err = c.sendStart(tanagerdispatch.StartOrder{}, maxOrderDelay+time.Millisecond)
-	qt.Assert(t, errorx.IsOfType(err, tanagerport.Refused), qt.IsTrue)
+	qt.Assert(t, errorx.IsOfType(err, tanagerport.NotSent), qt.IsTrue)
 	qt.Assert(t, workers.starts, qt.HasLen, 1)
 	order := tanagerdispatch.PollOrder{Poll: tanagerport.Poll{
 		Acknowledged: 7,
