Make the report of a test complete

Both of its reports are complete now, so that it asks for the same: the one of the earlier term is dropped, the other counts.

--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -225,16 +225,20 @@
 	c.becomeScheduler(3)
 	c.cell.AddPredecessorWorkers(c.timer.Now(), []string{"w"})
 	c.cell.SetWorkers(c.timer.Now(), []tanagerport.WorkerEntry{{ID: "w"}})
+	report := tanagerport.Report{
+		Response: tanagerport.Response{Status: tanagerport.Accepted},
+		Complete: true,
+	}
 	pollCallFinished{
 		term:   earlier,
 		order:  tanagerdispatch.PollOrder{Worker: tanagerport.WorkerRef{ID: "w"}},
-		report: tanagerport.Report{Response: tanagerport.Response{Status: tanagerport.Accepted}},
+		report: report,
 	}.apply(c)
 	qt.New(t).Assert(c.cell.Load().PredecessorWorkers, qt.Equals, 1)
 	pollCallFinished{
 		term:   c.term,
 		order:  tanagerdispatch.PollOrder{Worker: tanagerport.WorkerRef{ID: "w"}},
-		report: tanagerport.Report{Response: tanagerport.Response{Status: tanagerport.Accepted}},
+		report: report,
 	}.apply(c)
 	qt.New(t).Assert(c.cell.Load().PredecessorWorkers, qt.Equals, 0)
 }
