Apply the entries of a worker in the order of their revisions

Found in review: a page of a watch that had been cut short with a lost lead could be applied after a later one, and put an entry of a former incarnation in place of the present one. Only listings were compared by their revision.

TestOlderEntryChangesNothing fails without the comparison.

--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
@@ -55,8 +56,10 @@
 	leader        leaderState
 	configuration *tanagerport.Configuration
 	workers       map[string]tanagerport.WorkerEntry
-	// workersRevision is the store's revision that workers reflects.
+	// workersRevision is the store's revision that workers reflects, and entryRevisions
+	// are those of the entries by key.
 	workersRevision int64
+	entryRevisions  map[string]int64
 	// missingWorkers are the workers whose entries were missing after an outage of
 	// the store, with the time at which they are taken to be gone.
 	missingWorkers map[string]time.Time
@@ -378,8 +381,9 @@
 	}
 }
 
-// apply ignores a listing from before a change that has been applied: the
-// listings of a takeover and of a watch can overtake each other.
+// apply ignores a listing from before a change that has been applied, and entries from
+// before a later one: the pages of a takeover and of two watches can overtake each
+// other.
 func (e workerUpdate) apply(c *control) {
 	if e.snapshot && e.page.Revision < c.workersRevision {
 		return
@@ -388,8 +392,13 @@
 	prefix := c.ports.Decoder.WorkerPrefix()
 	if e.snapshot {
 		c.removeUnlisted(e.page.Items)
+		maps.DeleteFunc(c.entryRevisions, func(_ string, revision int64) bool { return revision <= e.page.Revision })
 	}
 	for _, item := range e.page.Items {
+		if item.Revision < c.entryRevisions[item.Key] {
+			continue
+		}
+		c.entryRevisions[item.Key] = item.Revision
 		if item.Deleted {
 			c.removeWorker(strings.TrimPrefix(item.Key, prefix))
 			continue
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -114,6 +114,7 @@
 		events:         make(chan event, 64),
 		workers:        make(map[string]tanagerport.WorkerEntry),
 		missingWorkers: make(map[string]time.Time),
+		entryRevisions: make(map[string]int64),
 		stateReplies:   make(map[uint64]chan stateResponse),
 		forwardReplies: make(map[uint64]chan tanagerport.Reply),
 		lastReset:      make(map[string]time.Time),
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -69,6 +69,7 @@
 		events:         make(chan event, eventQueueLength),
 		workers:        make(map[string]tanagerport.WorkerEntry),
 		missingWorkers: make(map[string]time.Time),
+		entryRevisions: make(map[string]int64),
 		hints:          make(map[string]tanagerdispatch.AdmissionHint),
 		storeUp:        true,
 		storeUpSince:   timer.Now(),
--- a/tanagerd/tanagercell/updates_test.go
+++ b/tanagerd/tanagercell/updates_test.go
@@ -134,3 +134,30 @@
 		qt.Check(t, c.missingWorkers, qt.HasLen, 0, qt.Commentf("%s", name))
 	}
 }
+
+// Guards against an entry of a worker's former incarnation that is applied after the
+// present one, as two watches were at work.
+func TestOlderEntryChangesNothing(t *testing.T) {
+	c := newTestControl(t)
+	c.ports.Decoder = incarnationDecoder{}
+	for _, revision := range []int64{7, 5} {
+		workerUpdate{page: tanagerport.Page{
+			Items: []tanagerport.Item{{
+				Key:      "workers/a",
+				Revision: revision,
+			}},
+			Revision: revision,
+		}}.apply(c)
+	}
+	qt.Assert(t, c.workers["a"].Incarnation, qt.Equals, int64(7))
+}
+
+// incarnationDecoder takes the revision of an entry for the incarnation.
+type incarnationDecoder struct{ stubDecoder }
+
+func (incarnationDecoder) Worker(item tanagerport.Item) (tanagerport.WorkerEntry, error) {
+	return tanagerport.WorkerEntry{
+		ID:          item.Key[len("workers/"):],
+		Incarnation: item.Revision,
+	}, nil
+}
