Let no task start beside its orphan after its attempt is lost

Callers can see two runs of a task at once. A start of a replaced scheduler that was paused reaches a worker that has restarted, which refuses no epoch. The first report of the new incarnation shows that run, for which no attempt could stand as the successor still had one, of the former incarnation. The run was told to stop, the attempt was lost by the same report, and the task started on another worker while its orphan was being stopped.

An orphan is adopted, and stopped, as soon as its task has no attempt.

--- a/tanager/tanagerdispatch/end.go
+++ b/tanager/tanagerdispatch/end.go
@@ -29,6 +29,7 @@
 	if !t.done {
 		s.pendingTasks++
 		c.enqueue(s)
+		c.claimOrphans(s.job)
 	}
 }
 
--- a/tanager/tanagerdispatch/orphan_test.go
+++ b/tanager/tanagerdispatch/orphan_test.go
@@ -128,3 +128,46 @@
 	}
 	h.c.Assert(h.submit(record), qt.HasLen, 1)
 }
+
+// Guards against a task that starts again while an orphaned run of it goes on: a start of
+// a replaced scheduler reached a worker that had restarted and lost the present run.
+func TestTaskWaitsForItsOrphan(t *testing.T) {
+	h := newHarness(t, 2)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.sync()
+	start := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.accept(start)
+	h.tick(50 * time.Millisecond)
+	own := start.Worker.ID
+	h.cell.HandlePollResponse(h.now, PollOrder{Worker: start.Worker}, h.now, tanagerport.Report{
+		Response: tanagerport.Response{
+			Status: tanagerport.Accepted,
+			Clock:  h.clock,
+		},
+		Incarnation: 2,
+		Running: []tanagerport.ActiveRun{{
+			Task: start.Start.Task,
+			Run:  1,
+		}},
+		Complete: true,
+	}, nil)
+	// The worker may have crashed under the lost run: its task waits for that to be
+	// stored, and then for its orphan.
+	h.storeProgress()
+	h.c.Assert(h.tick(2*crashWindow).Starts, qt.HasLen, 0)
+	h.cell.HandlePollResponse(h.now, PollOrder{Worker: h.cell.workers[own].ref()}, h.now, tanagerport.Report{
+		Response: tanagerport.Response{
+			Status: tanagerport.Accepted,
+			Clock:  h.clock,
+		},
+		Incarnation: 2,
+		Ended: []tanagerport.EndedRun{{
+			SequenceNumber: 1,
+			Task:           start.Start.Task,
+			Run:            1,
+			Reason:         tanagerport.EndedStopped,
+		}},
+		Complete: true,
+	}, nil)
+	h.c.Assert(h.tick(200*time.Millisecond).Starts, qt.HasLen, 1)
+}
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -55,22 +55,26 @@
 	w.setOrphanUsage(usage)
 }
 
-// claimOrphans adopts the runs of a new job that workers have reported before. They
-// are being stopped, and none of their tasks may start before they have ended.
+// claimOrphans adopts those orphaned runs of a job that attempts can stand for now, as
+// the job is new or a task has lost its attempt. They are being stopped, and none of
+// their tasks may start before they have ended.
 func (c *Cell) claimOrphans(j *job) {
 	for _, w := range c.workerList {
-		claimed := slices.DeleteFunc(w.orphans, func(active tanagerport.ActiveRun) bool {
+		if len(w.orphans) == 0 {
+			continue
+		}
+		before := len(w.orphans)
+		w.orphans = slices.DeleteFunc(w.orphans, func(active tanagerport.ActiveRun) bool {
 			if active.Task.Job != j.record.ID {
 				return false
 			}
 			a := c.adopt(w, active)
 			if a != nil {
-				c.stopSingly(a, "reported before its job was known")
+				c.stopSingly(a, "orphaned run")
 			}
 			return a != nil
 		})
-		if len(claimed) < len(w.orphans) {
-			w.orphans = claimed
+		if len(w.orphans) < before {
 			c.updateOrphanUsage(w)
 		}
 	}
