--- a/soak/tanagersoak/caller.go
+++ b/soak/tanagersoak/caller.go
@@ -99,6 +99,11 @@
 // send sends a request for a job. It returns the status of the response, 0 without
 // one, and the job's state, if the body holds one.
 func (c *callerPool) send(d *daemon, method, id string, body []byte) (int, string) {
+	return sendWith(c.client, d, method, id, body)
+}
+
+// sendWith sends a request for a job with a client.
+func sendWith(client *http.Client, d *daemon, method, id string, body []byte) (int, string) {
 	request, err := http.NewRequest(method, "http://"+d.callerAddress.String()+tanagersite.QueuePrefix+id,
 		bytes.NewReader(body))
 	if err != nil {
@@ -106,7 +111,7 @@
 	}
 	request.Host = tanagersite.QueueHost
 	request.Header.Set("Content-Type", "application/cbor")
-	response, err := c.client.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return 0, ""
 	}
@@ -141,6 +146,10 @@
 	c.mu.Lock()
 	cancelled := c.cancelled[id]
 	c.mu.Unlock()
+	c.site.Record().Note("shown", tanagersite.Fields{"job": id, "status": status, "state": state})
+	if state == "completed" {
+		c.site.JobShownCompleted(id)
+	}
 	switch {
 	case status == http.StatusGone:
 		c.addViolation("job %s was accepted, but is not known", id)
--- a/soak/tanagersoak/daemon.go
+++ b/soak/tanagersoak/daemon.go
@@ -60,6 +60,9 @@
 	logFile          string
 	callerAddress    netip.AddrPort
 	readinessAddress netip.AddrPort
+	// peerAddress is the address at which other daemons reach this one, and begins the
+	// names that it has in the store.
+	peerAddress netip.AddrPort
 	// peerRelay forwards the connections of other daemons to this one, storeRelay
 	// those of this daemon to the store.
 	peerRelay, storeRelay *tanagerrelay.Relay
@@ -126,6 +129,7 @@
 		logFile:          filepath.Join(dir, name+".log"),
 		callerAddress:    addresses[0],
 		readinessAddress: addresses[1],
+		peerAddress:      addresses[2],
 	}
 	var err error
 	if d.peerRelay, err = startRelay(addresses[2], addresses[3]); err != nil {
--- a/soak/tanagersoak/soak.go
+++ b/soak/tanagersoak/soak.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -30,6 +31,13 @@
 	CapacityChanges bool
 	// CrashingJobs adds jobs with a task that crashes each worker that starts it.
 	CrashingJobs bool
+	// Takeovers replaces the faults and the jobs by series of faults that make the
+	// scheduler change again and again, and by the load of a large site. The three
+	// settings above do not matter then.
+	Takeovers bool
+	// Record keeps a record of what workers, callers and the store see, with the logs
+	// of a run with violations.
+	Record bool
 }
 
 // Report is the result of a run.
@@ -42,6 +50,8 @@
 	Faults map[string]int
 	// Violations describes the violated invariants.
 	Violations []string
+	// Notes tells what a run with Settings.Takeovers counts besides.
+	Notes string
 	// LogDir is the directory of the daemons' logs, which are kept if there are
 	// violations.
 	LogDir string
@@ -49,8 +59,8 @@
 
 // String returns a summary line, followed by a line for each violation.
 func (r Report) String() string {
-	line := fmt.Sprintf("seed=%d accepted=%d refused=%d unsure=%d cancelled=%d starts=%d faults=%v broken=%d",
-		r.Seed, r.Accepted, r.Refused, r.Unknown, r.Cancelled, r.RunsStarted, r.Faults, len(r.Violations))
+	line := fmt.Sprintf("seed=%d accepted=%d refused=%d unsure=%d cancelled=%d starts=%d faults=%v%s broken=%d",
+		r.Seed, r.Accepted, r.Refused, r.Unknown, r.Cancelled, r.RunsStarted, r.Faults, r.Notes, len(r.Violations))
 	if len(r.Violations) > 0 {
 		line += " logs=" + r.LogDir + "\n  " + strings.Join(r.Violations, "\n  ")
 	}
@@ -61,6 +71,7 @@
 type cell struct {
 	settings       Settings
 	site           *tanagersite.Site
+	record         *tanagersite.Record
 	daemons        []*daemon
 	random         *rand.Rand
 	faults         map[string]int
@@ -68,6 +79,8 @@
 	// shrunkWorkers is the number of times that a worker shrank, set before
 	// pendingRepairs ends.
 	shrunkWorkers int
+	// elections counts the changes of the scheduler in a run with Settings.Takeovers.
+	elections int
 }
 
 const (
@@ -98,12 +111,22 @@
 		random:   rand.New(rand.NewPCG(s.Seed, 1)),
 		faults:   make(map[string]int),
 	}
+	if s.Record {
+		file, err := os.Create(filepath.Join(logDir, "record.jsonl"))
+		if err != nil {
+			return Report{}, err
+		}
+		defer file.Close()
+		c.record = tanagersite.NewRecord(file)
+	}
 	c.site, err = tanagersite.New(tanagersite.Settings{
 		Workers:          s.Workers,
 		StoreEndpoints:   s.Daemons,
 		MilliCPU:         workerMilliCPU,
 		MeanTaskDuration: meanTaskDuration,
 		Seed:             s.Seed,
+		WorkerLinks:      s.Takeovers,
+		Record:           c.record,
 	})
 	if err != nil {
 		return Report{}, err
@@ -114,7 +137,7 @@
 		return Report{}, err
 	}
 	callers := newCallerPool(c.site, c.daemons)
-	if s.CrashingJobs {
+	if s.CrashingJobs && !s.Takeovers {
 		callers.crashingJobShare = crashingJobShare
 	}
 	stop := make(chan struct{})
@@ -122,13 +145,22 @@
 	callersDone.Add(1)
 	go func() {
 		defer callersDone.Done()
-		callers.run(s.Seed, stop)
+		if s.Takeovers {
+			callers.runLoad(s.Seed, stop)
+		} else {
+			callers.run(s.Seed, stop)
+		}
 	}()
-	c.injectFaults()
+	if s.Takeovers {
+		newTakeovers(c).inject()
+	} else {
+		c.injectFaults()
+	}
 	c.awaitRepairs()
 	close(stop)
 	callersDone.Wait()
-	return c.report(callers, logDir), nil
+	report := c.report(callers, logDir)
+	return report, c.record.Flush()
 }
 
 // start starts the daemons and waits until all of them are ready.
@@ -380,7 +412,7 @@
 	if !allEnded {
 		callers.addViolation("%d accepted jobs have not ended: %v", len(unfinished), unfinished[:min(len(unfinished), 5)])
 	}
-	if c.settings.CapacityChanges {
+	if c.settings.CapacityChanges && !c.settings.Takeovers {
 		c.faults["worker_shrinks"] = c.shrunkWorkers
 	}
 	violations := append(c.site.Violations(), callers.violations...)
@@ -395,6 +427,9 @@
 		Violations:  violations,
 		LogDir:      logDir,
 	}
+	if c.settings.Takeovers {
+		report.Notes = c.takeoverNotes()
+	}
 	if len(violations) == 0 {
 		_ = os.RemoveAll(logDir)
 	}
--- a/soak/tanagersoak/soak_test.go
+++ b/soak/tanagersoak/soak_test.go
@@ -88,6 +88,27 @@
 	runSeed(t, buildDaemon(t), s)
 }
 
+// A run in which the scheduler changes again and again under the load of a large site.
+func TestTakeovers(t *testing.T) {
+	s := Settings{
+		Binary:        buildDaemon(t),
+		Seed:          9001,
+		Daemons:       TakeoverDaemons,
+		Workers:       TakeoverWorkers,
+		FaultDuration: 12 * time.Second,
+		SettleTimeout: 90 * time.Second,
+		Takeovers:     true,
+		Record:        true,
+	}
+	t.Logf("seed %d", s.Seed)
+	report, err := Run(s)
+	c := qt.New(t)
+	c.Assert(err, qt.IsNil)
+	t.Log(report)
+	c.Check(report.Violations, qt.HasLen, 0)
+	c.Check(report.Accepted > 0, qt.IsTrue)
+}
+
 // runSeed plays a seed with the kinds of faults that are set.
 func runSeed(t *testing.T, binary string, s Settings) {
 	t.Helper()
--- a/tanagerfake/tanagerrelay/relay.go
+++ b/tanagerfake/tanagerrelay/relay.go
@@ -21,7 +21,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -36,7 +38,10 @@
 	cut         bool
 	connections map[net.Conn]struct{}
 	fault       Fault
-	// faultChanged is closed when the fault changes.
+	// holds counts the reasons to hold back all bytes, under an empty source, and those
+	// of connections of one source.
+	holds map[string]int
+	// faultChanged is closed when the fault or holds change.
 	faultChanged chan struct{}
 }
 
@@ -54,10 +59,41 @@
 	return &Relay{
 		upstream:     upstream,
 		connections:  make(map[net.Conn]struct{}),
+		holds:        make(map[string]int),
 		faultChanged: make(chan struct{}),
 	}
 }
 
+// SourceHeader is the header of the first request on a connection that names its
+// source: the text up to the first hyphen.
+const SourceHeader = "Tanager-Member"
+
+// Hold holds back all bytes in both directions, or those of the connections of one
+// source if source is not empty, until release is called. Holds may overlap, and
+// connections stay open.
+func (r *Relay) Hold(source string) (release func()) {
+	r.changeHold(source, 1)
+	return func() { r.changeHold(source, -1) }
+}
+
+func (r *Relay) changeHold(source string, change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holds[source] += change
+	close(r.faultChanged)
+	r.faultChanged = make(chan struct{})
+}
+
+// sourceOf returns the source that the first bytes of a connection name, or "".
+func sourceOf(first []byte) string {
+	_, after, found := strings.Cut(string(first), SourceHeader+": ")
+	if !found {
+		return ""
+	}
+	source, _, _ := strings.Cut(after, "-")
+	return source
+}
+
 // SetFault replaces the fault in force.
 func (r *Relay) SetFault(f Fault) {
 	r.mu.Lock()
@@ -140,21 +176,30 @@
 		return
 	}
 	defer r.untrack(upstream)
+	var source atomic.Value
+	source.Store("")
 	go func() {
 		defer downstream.Close()
-		r.copyBytes(downstream, upstream, func(f Fault) bool { return f.BlockDownstream })
+		r.copyBytes(downstream, upstream, func([]byte) string { return source.Load().(string) },
+			func(f Fault) bool { return f.BlockDownstream })
 	}()
-	r.copyBytes(upstream, downstream, func(f Fault) bool { return f.BlockUpstream })
+	r.copyBytes(upstream, downstream, func(content []byte) string {
+		if name := sourceOf(content); name != "" {
+			source.Store(name)
+		}
+		return source.Load().(string)
+	}, func(f Fault) bool { return f.BlockUpstream })
 }
 
 // copyBytes copies from one connection to the other until either is closed.
-// blocked tells whether a fault blocks this direction.
-func (r *Relay) copyBytes(to, from net.Conn, blocked func(Fault) bool) {
+// blocked tells whether a fault blocks this direction, sourceAt returns the
+// connection's source at some bytes.
+func (r *Relay) copyBytes(to, from net.Conn, sourceAt func([]byte) string, blocked func(Fault) bool) {
 	buffer := make([]byte, bufferBytes)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			r.waitForFault(blocked)
+			r.waitForFault(sourceAt(buffer[:n]), blocked)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -170,12 +215,13 @@
 
 // waitForFault waits while the fault in force blocks a direction, and then for
 // the fault's delay.
-func (r *Relay) waitForFault(blocked func(Fault) bool) {
+func (r *Relay) waitForFault(source string, blocked func(Fault) bool) {
 	for {
 		r.mu.Lock()
 		fault, changed := r.fault, r.faultChanged
+		held := r.holds[""]+r.holds[source] > 0
 		r.mu.Unlock()
-		if !blocked(fault) {
+		if !held && !blocked(fault) {
 			time.Sleep(fault.Delay)
 			return
 		}
--- a/tanagerfake/tanagersite/observer.go
+++ b/tanagerfake/tanagersite/observer.go
@@ -21,6 +21,8 @@
 	// Crashing tells that the first task of the first step crashes each worker that
 	// starts it.
 	Crashing bool
+	// TaskDuration is the mean duration of the tasks, 0 for the site's.
+	TaskDuration time.Duration
 }
 
 const (
@@ -57,6 +59,9 @@
 	losses     map[string]int
 	violations []string
 	startCount int
+	// second checks for second starts. If it is nil, starts beside a run and after an
+	// acknowledged end are violations in any case.
+	second *secondStarts
 }
 
 // capacity is a worker's capacity in thousandths of a core, since a time.
@@ -132,7 +137,9 @@
 	if o.refused[job] {
 		o.addViolation("task %s started after its job was refused", command.Task)
 	}
-	if other, running := o.running[command.Task]; running {
+	if o.second != nil {
+		o.checkSecondStart(command, worker)
+	} else if other, running := o.running[command.Task]; running {
 		o.addViolation("task %s started on worker %s while running on worker %s", command.Task, worker, other)
 	}
 	if o.acknowledged[command.Task] {
@@ -177,13 +184,16 @@
 	}
 }
 
-func (o *observer) runEnded(task string, _ int64, worker, reason string) {
+func (o *observer) runEnded(task string, number int64, worker, reason string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.second != nil {
+		o.second.ended(task, number, worker, reason)
+	}
 	if o.running[task] == worker {
 		delete(o.running, task)
 	}
-	if reason != "done" {
+	if reason != endDone {
 		return
 	}
 	o.done[task] = true
@@ -244,6 +254,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.losses[task]++
+	if o.second != nil {
+		o.second.removeLive(task, worker, 0)
+	}
 	if o.running[task] == worker {
 		delete(o.running, task)
 	}
@@ -252,11 +265,20 @@
 func (o *observer) endAcknowledged(task, reason string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if reason == "done" {
+	if reason == endDone {
 		o.acknowledged[task] = true
 	}
 }
 
+// meanTaskDuration returns the mean duration of the tasks of a task's job, 0 if it
+// has none of its own.
+func (o *observer) meanTaskDuration(task string) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	job, _, _ := strings.Cut(task, ".")
+	return o.jobs[job].TaskDuration
+}
+
 func (o *observer) isGang(job string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/tanagerfake/tanagersite/site.go
+++ b/tanagerfake/tanagersite/site.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/netip"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +32,11 @@
 	MeanTaskDuration time.Duration
 	// Seed seeds the random decisions of the faults.
 	Seed uint64
+	// WorkerLinks gives each worker an address for the daemon of each store endpoint,
+	// and checks second starts as the users do.
+	WorkerLinks bool
+	// Record may be nil.
+	Record *Record
 }
 
 // Site is a running fake of the platform, on loopback addresses.
@@ -40,6 +47,7 @@
 	servers              []*http.Server
 	storeAddresses       []netip.AddrPort
 	adviceAddress        netip.AddrPort
+	mu                   sync.Mutex
 	workers              []*Worker
 	observer             *observer
 	stop                 chan struct{}
@@ -55,8 +63,12 @@
 		observer: newObserver(),
 		stop:     make(chan struct{}),
 	}
+	site.store.notes = s.Record
+	if s.WorkerLinks {
+		site.observer.second = newSecondStarts()
+	}
 	for i := range s.StoreEndpoints {
-		endpoint := newStoreEndpoint(site.store, s.Seed+uint64(i))
+		endpoint := newStoreEndpoint(site, i, s.Seed+uint64(i))
 		address, err := site.serve(endpoint)
 		if err != nil {
 			return nil, err
@@ -74,7 +86,9 @@
 		if err != nil {
 			return nil, err
 		}
+		site.mu.Lock()
 		site.workers = append(site.workers, w)
+		site.mu.Unlock()
 		w.SetCapacity(s.MilliCPU)
 	}
 	site.stopped.Add(1)
@@ -178,9 +192,27 @@
 // AdviceAddress returns the address of the advice service.
 func (s *Site) AdviceAddress() netip.AddrPort { return s.adviceAddress }
 
+// Record returns the site's record, which may be nil.
+func (s *Site) Record() *Record { return s.settings.Record }
+
 // Worker returns worker i.
 func (s *Site) Worker(i int) *Worker { return s.workers[i] }
 
+// workerByID returns the worker with an id, or nil. Workers are named by their
+// indices.
+func (s *Site) workerByID(id string) *Worker {
+	i, err := strconv.Atoi(strings.TrimPrefix(id, "w"))
+	if err != nil || i < 0 || i >= s.settings.Workers {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i >= len(s.workers) {
+		return nil
+	}
+	return s.workers[i]
+}
+
 // JobSubmitted tells the observer about a job. It has to be called before the
 // first attempt to submit the job.
 func (s *Site) JobSubmitted(id string, spec JobSpec) {
@@ -254,7 +286,11 @@
 		task = step
 	}
 	_, _ = h.Write([]byte(task))
-	return s.settings.MeanTaskDuration/2 + s.settings.MeanTaskDuration*time.Duration(h.Sum32()%1000)/1000
+	mean := s.observer.meanTaskDuration(task)
+	if mean == 0 {
+		mean = s.settings.MeanTaskDuration
+	}
+	return mean/2 + mean*time.Duration(h.Sum32()%1000)/1000
 }
 
 // advise handles a call for advice. It permits every worker.
--- a/tanagerfake/tanagersite/store.go
+++ b/tanagerfake/tanagersite/store.go
@@ -42,9 +42,14 @@
 	// compactedRevision is the revision of the newest change dropped from history.
 	compactedRevision int64
 	leases            map[int64]*lease
-	nextID            int64
+	// leasesPaused counts the reasons why leases do not expire, pausedAt is the time
+	// of the first.
+	leasesPaused int
+	pausedAt     time.Time
+	nextID       int64
 	// changed is closed at the next change.
 	changed chan struct{}
+	notes   *Record
 }
 
 type lease struct {
@@ -131,6 +136,9 @@
 func (s *store) expireLeases(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.leasesPaused > 0 {
+		return
+	}
 	for id, l := range s.leases {
 		if now.After(l.expiry) {
 			s.endLease(id)
@@ -138,11 +146,42 @@
 	}
 }
 
+// PauseLeases keeps the store's leases from running until resume is called.
+func (s *Site) PauseLeases() (resume func()) {
+	st := s.store
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.leasesPaused == 0 {
+		st.pausedAt = time.Now()
+	}
+	st.leasesPaused++
+	return func() {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		if st.leasesPaused--; st.leasesPaused > 0 {
+			return
+		}
+		for _, l := range st.leases {
+			l.expiry = l.expiry.Add(time.Since(st.pausedAt))
+		}
+	}
+}
+
+// Value returns the value of a key of the store.
+func (s *Site) Value(key string) (value []byte, exists bool) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	i, exists := s.store.items[key]
+	value, err := base64.StdEncoding.DecodeString(i.Value)
+	return value, exists && err == nil
+}
+
 // endLease removes a lease and deletes its keys. The caller holds the lock.
 func (s *store) endLease(id int64) {
 	delete(s.leases, id)
 	for key, i := range s.items {
 		if i.Lease == id {
+			s.notes.Note("lease_end", Fields{"lease": id, "key": key})
 			s.deleteKey(key)
 		}
 	}
@@ -164,6 +203,9 @@
 // StoreEndpoint is an HTTP endpoint of the store. Each daemon has its own, so that
 // faults can be injected for one daemon. It is safe for concurrent use.
 type StoreEndpoint struct {
+	site *Site
+	// index is the index of the endpoint, and of the daemon that uses it.
+	index  int
 	store  *store
 	router chi.Router
 
@@ -172,9 +214,11 @@
 	random *rand.Rand
 }
 
-func newStoreEndpoint(s *store, seed uint64) *StoreEndpoint {
+func newStoreEndpoint(s *Site, index int, seed uint64) *StoreEndpoint {
 	e := &StoreEndpoint{
-		store:  s,
+		site:   s,
+		index:  index,
+		store:  s.store,
 		router: chi.NewRouter(),
 		random: rand.New(rand.NewPCG(seed, 7)),
 	}
@@ -220,9 +264,9 @@
 	var t wireTransaction
 	if readBody(r, &t) == nil {
 		if delay > 0 {
-			time.AfterFunc(delay, func() { e.store.commit(t) })
+			time.AfterFunc(delay, func() { e.commit(t, true) })
 		} else {
-			e.store.commit(t)
+			e.commit(t, true)
 		}
 	}
 	panic(http.ErrAbortHandler)
@@ -236,7 +280,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	writeResponse(w, http.StatusOK, i)
+	writeResponse(w, http.StatusOK, e.localize([]item{i})[0])
 }
 
 func (e *StoreEndpoint) list(w http.ResponseWriter, r *http.Request) {
@@ -256,7 +300,7 @@
 		found = found[:maxPageItems]
 	}
 	writeResponse(w, http.StatusOK, map[string]any{
-		"items":          found,
+		"items":          e.localize(found),
 		"has_more":       more,
 		"store_revision": revision,
 	})
@@ -276,7 +320,7 @@
 		}
 		if len(events) > 0 {
 			writeResponse(w, http.StatusOK, map[string]any{
-				"events":         events,
+				"events":         e.localize(events),
 				"store_revision": revision,
 			})
 			return
--- a/tanagerfake/tanagersite/transaction.go
+++ b/tanagerfake/tanagersite/transaction.go
@@ -2,7 +2,10 @@
 
 import (
 	"encoding/base64"
+	"fmt"
 	"net/http"
+
+	"tanagersail.example/tanager/tanagerwire"
 )
 
 type wireTransaction struct {
@@ -58,12 +61,45 @@
 	return http.StatusOK, map[string]any{"revision": s.revision}
 }
 
+// commit applies a transaction of the endpoint's daemon and records it. lost tells
+// that the daemon gets no response.
+func (e *StoreEndpoint) commit(t wireTransaction, lost bool) (int, any) {
+	status, body := e.store.commit(t)
+	if record := e.site.Record(); record != nil {
+		writes := make(map[string]string, len(t.Writes))
+		for _, w := range t.Writes {
+			writes[w.Key] = describeValue(w.Value)
+		}
+		record.Note("write", Fields{
+			"daemon": e.index, "status": status, "response": fmt.Sprint(body), "lost": lost, "writes": writes,
+			"remove": t.Remove,
+		})
+	}
+	return status, body
+}
+
+// maxDescription bounds the text of a value in the record.
+const maxDescription = 400
+
+func describeValue(value string) string {
+	var decoded any
+	content, err := base64.StdEncoding.DecodeString(value)
+	if err == nil {
+		err = tanagerwire.Decode(content, &decoded)
+	}
+	if err != nil {
+		return fmt.Sprintf("%d bytes", len(value))
+	}
+	text := fmt.Sprint(decoded)
+	return text[:min(len(text), maxDescription)]
+}
+
 func (e *StoreEndpoint) transaction(w http.ResponseWriter, r *http.Request) {
 	var t wireTransaction
 	if err := readBody(r, &t); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	status, body := e.store.commit(t)
+	status, body := e.commit(t, false)
 	writeResponse(w, status, body)
 }
--- a/tanagerfake/tanagersite/worker.go
+++ b/tanagerfake/tanagersite/worker.go
@@ -37,8 +37,17 @@
 	mu sync.Mutex
 	// server is replaced when the worker returns from a crash in which it refused
 	// connections.
-	server  *http.Server
-	address string
+	server    *http.Server
+	listeners []net.Listener
+	address   string
+	// addresses and links hold one of each for each daemon, if links are set. The first
+	// address is also address. They never change.
+	addresses []string
+	links     []*link
+	// storeCuts counts the cuts between the worker and the store.
+	storeCuts int
+	// clockBack is how far the worker's time of day is behind.
+	clockBack time.Duration
 	// crashed workers send no responses. closed ones do not return.
 	crashed, closed bool
 	// startTime is the start of the worker's incarnation, where its clock is 0.
@@ -60,6 +69,13 @@
 	// ended holds a report row for each ended run that is not yet acknowledged.
 	ended         [][]any
 	lastEndNumber int64
+	// lastSeen is the highest end number acknowledged. Ends up to it are forgotten,
+	// also later ones.
+	lastSeen int64
+	// lapses counts the times that the lease has lapsed, endLapses holds the count at
+	// each end.
+	lapses    int
+	endLapses map[int64]int
 	// changed is closed when the next run ends.
 	changed chan struct{}
 }
@@ -68,6 +84,20 @@
 	task   string
 	number int64
 	timer  *time.Timer
+	// startedAt and duration tell the run's progress.
+	startedAt time.Time
+	duration  time.Duration
+}
+
+// halfway is the percent that all runs show without links.
+const halfway = 50
+
+// percent returns the run's progress.
+func (r *run) percent(shows bool) int {
+	if !shows || r.duration == 0 {
+		return halfway
+	}
+	return min(int(100*time.Since(r.startedAt)/r.duration), 99)
 }
 
 type wireCommand struct {
@@ -78,6 +108,7 @@
 	FencingToken int64  `json:"fencing_token"`
 	LastSeen     int64  `json:"last_seen"`
 	WaitMS       int64  `json:"wait_ms"`
+	callContext
 }
 
 func newWorker(s *Site, id string, seed uint64) (*Worker, error) {
@@ -93,21 +124,52 @@
 // listen starts a server at a new address. The caller holds the lock or is the only
 // user.
 func (w *Worker) listen() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listeners, err := w.openListeners()
 	if err != nil {
 		return err
 	}
-	w.address = listener.Addr().String()
+	w.address = listeners[0].Addr().String()
 	router := chi.NewRouter()
 	router.Post("/tanagersail/run-start", w.commandHandler(w.start))
 	router.Post("/tanagersail/run-stop", w.commandHandler(w.stop))
 	router.Post("/tanagersail/hold", w.poll)
 	server := &http.Server{Handler: router}
-	w.server = server
-	go func() { _ = server.Serve(listener) }()
+	if len(w.links) > 0 {
+		server.Handler = w.throughLinks(router)
+	}
+	w.server, w.listeners = server, listeners
+	for _, l := range listeners {
+		go func() { _ = server.Serve(l) }()
+	}
 	return nil
 }
 
+// openListeners returns a listener, or one for each daemon if there are links.
+func (w *Worker) openListeners() ([]net.Listener, error) {
+	if !w.site.settings.WorkerLinks {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		return []net.Listener{l}, err
+	}
+	var listeners []net.Listener
+	isNew := len(w.addresses) == 0
+	for i := range w.site.settings.StoreEndpoints {
+		address := "127.0.0.1:0"
+		if !isNew {
+			address = w.addresses[i]
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, l)
+		if isNew {
+			w.addresses = append(w.addresses, l.Addr().String())
+			w.links = append(w.links, &link{})
+		}
+	}
+	return listeners, nil
+}
+
 // close stops the worker for good.
 func (w *Worker) close() {
 	w.mu.Lock()
@@ -119,7 +181,8 @@
 // reset starts a new incarnation without any state.
 func (w *Worker) reset() {
 	w.startTime = time.Now()
-	w.seq, w.fencingToken, w.lastEndNumber, w.leaseExpiry = 0, 0, 0, 0
+	w.seq, w.fencingToken, w.lastEndNumber, w.lastSeen, w.leaseExpiry = 0, 0, 0, 0, 0
+	w.lapses, w.endLapses = 0, make(map[int64]int)
 	w.runs = make(map[string]*run)
 	w.lastEndedRun = make(map[string]int64)
 	w.ended = nil
@@ -192,7 +255,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.crashed && w.startTime.Equal(startTime) {
-		w.site.deleteKey("servers/" + w.id)
+		w.site.deleteKey(entryPrefix + w.id)
 	}
 }
 
@@ -211,6 +274,7 @@
 	w.crashed = false
 	w.reset()
 	w.register()
+	w.site.Record().Note("worker_return", Fields{"worker": w.id, "born": w.born()})
 }
 
 func (w *Worker) hasCrashed() bool {
@@ -244,6 +308,7 @@
 			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
+		c.callContext = callOf(r)
 		w.mu.Lock()
 		f := w.fault
 		delayed := w.random.Float64() < f.DelayProbability
@@ -264,6 +329,10 @@
 			return
 		}
 		status, reason := execute(c)
+		w.site.Record().Note("order", Fields{
+			"call": r.URL.Path, "daemon": c.daemon, "late": c.late, "worker": w.id, "task": c.Task, "run": c.Run,
+			"token": c.FencingToken, "deadline_ms": c.DeadlineMS, "status": status, "reason": reason,
+		})
 		if status == 0 {
 			<-r.Context().Done()
 			return
@@ -327,7 +396,8 @@
 		r.timer = time.AfterFunc(crashDelay, func() { w.crash(r) })
 		return
 	}
-	r.timer = time.AfterFunc(w.site.taskDuration(r.task), func() { w.endRun(r, reason) })
+	r.startedAt, r.duration = time.Now(), w.site.taskDuration(r.task)
+	r.timer = time.AfterFunc(r.duration, func() { w.endRun(r, reason) })
 }
 
 // runningTasks returns the names of the running tasks. The caller holds the lock.
@@ -342,8 +412,15 @@
 // extendLease extends the lease to a reading of the worker's clock. It never
 // shortens the lease. The caller holds the lock.
 func (w *Worker) extendLease(deadlineMS int64) {
-	expiry := min(time.Duration(deadlineMS)*time.Millisecond, w.clock()+maxLease)
+	clock := w.clock()
+	if clock > w.leaseExpiry {
+		w.lapses++
+	}
+	expiry := min(time.Duration(deadlineMS)*time.Millisecond, clock+maxLease)
 	w.leaseExpiry = max(w.leaseExpiry, expiry)
+	if w.site.settings.WorkerLinks {
+		w.site.observer.leaseExtended(w.id, w.startTime.Add(w.leaseExpiry))
+	}
 }
 
 func (w *Worker) stop(c wireCommand) (int, string) {
@@ -375,11 +452,21 @@
 		return
 	}
 	r.timer.Stop()
+	if w.site.settings.WorkerLinks && w.clock() > w.leaseExpiry {
+		reason = "lapsed"
+	}
 	delete(w.runs, r.task)
 	w.lastEndedRun[r.task] = max(w.lastEndedRun[r.task], r.number)
 	w.lastEndNumber++
 	w.ended = append(w.ended, []any{w.lastEndNumber, r.task, r.number, reason, ""})
 	w.site.observer.runEnded(r.task, r.number, w.id, reason)
+	w.site.Record().Note("end", Fields{
+		"worker": w.id, "number": w.lastEndNumber, "task": r.task, "run": r.number, "how": reason,
+	})
+	if w.site.settings.WorkerLinks {
+		w.endLapses[w.lastEndNumber] = w.lapses
+		w.acknowledge(w.lastSeen, true)
+	}
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
@@ -405,12 +492,15 @@
 		rw.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	c.callContext = callOf(r)
 	w.mu.Lock()
 	unresponsive := w.fault.Unresponsive || w.crashed
 	fenced := c.FencingToken < w.fencingToken
 	if !unresponsive && !fenced {
+		w.notePoll(c)
 		w.fencingToken = c.FencingToken
-		w.acknowledge(c.LastSeen)
+		w.lastSeen = max(w.lastSeen, c.LastSeen)
+		w.acknowledge(c.LastSeen, false)
 		if c.DeadlineMS > 0 {
 			w.extendLease(c.DeadlineMS)
 		}
@@ -441,22 +531,59 @@
 }
 
 // acknowledge drops the ended runs up to the end number lastSeen. The caller holds
-// the lock.
-func (w *Worker) acknowledge(lastSeen int64) {
+// the lock. forgotten tells that the runs ended after lastSeen had been received.
+func (w *Worker) acknowledge(lastSeen int64, forgotten bool) {
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= lastSeen {
-		w.site.observer.endAcknowledged(w.ended[0][1].(string), w.ended[0][3].(string))
+		w.endAcknowledged(w.ended[0], forgotten)
 		w.ended = w.ended[1:]
 	}
 }
 
+// endAcknowledged tells the observer about an acknowledged end. With links, an end is
+// not taken note of if the lease has lapsed since. The caller holds the lock.
+func (w *Worker) endAcknowledged(end []any, forgotten bool) {
+	task, reason := end[1].(string), end[3].(string)
+	if !w.site.settings.WorkerLinks {
+		w.site.observer.endAcknowledged(task, reason)
+		return
+	}
+	number := end[0].(int64)
+	lapsed := w.endLapses[number] != w.lapses || w.clock() > w.leaseExpiry
+	delete(w.endLapses, number)
+	if reason == endDone && !lapsed {
+		w.site.observer.endNoted(task, end[2].(int64), w.id, forgotten)
+	}
+	w.site.Record().Note("end_seen", Fields{
+		"worker": w.id, "number": number, "task": task, "run": end[2], "lapsed": lapsed, "forgotten": forgotten,
+	})
+}
+
+// notePoll records a poll that acknowledges ends or raises the token. The caller
+// holds the lock.
+func (w *Worker) notePoll(c wireCommand) {
+	if c.LastSeen > w.lastSeen || c.FencingToken > w.fencingToken {
+		w.site.Record().Note("poll", Fields{
+			"daemon": c.daemon, "late": c.late, "worker": w.id, "token": c.FencingToken, "last_seen": c.LastSeen,
+			"born": w.born(),
+		})
+	}
+}
+
+// endDone is the reason of an end of a run that has done its task.
+const endDone = "done"
+
+// born returns the time of day of the incarnation's start by the worker's own clock,
+// in milliseconds.
+func (w *Worker) born() int64 { return w.startTime.Add(-w.clockBack).UnixMilli() }
+
 func (w *Worker) report(rw http.ResponseWriter) {
 	w.mu.Lock()
 	running := make([][]any, 0, len(w.runs))
 	for _, r := range w.runs {
-		running = append(running, []any{r.task, r.number, "", 50, 0})
+		running = append(running, []any{r.task, r.number, "", r.percent(w.site.settings.WorkerLinks), 0})
 	}
 	body := map[string]any{
-		"born":     w.startTime.UnixMilli(),
+		"born":     w.born(),
 		"running":  running,
 		"finished": append([][]any{}, w.ended...),
 	}
@@ -467,8 +594,11 @@
 // register writes the worker's entry in the store. The caller holds the lock, so
 // that entries are written in order.
 func (w *Worker) register() {
+	if w.storeCuts > 0 {
+		return
+	}
 	w.seq++
-	w.site.WriteKey("servers/"+w.id, tanagerwire.Encode(map[string]any{
+	w.site.WriteKey(entryPrefix+w.id, tanagerwire.Encode(map[string]any{
 		"service":  ServiceName,
 		"address":  w.address,
 		"zone":     "a",
@@ -476,7 +606,7 @@
 		"slots":    8,
 		"state":    "ready",
 		"seq":      w.seq,
-		"born":     w.startTime.UnixMilli(),
+		"born":     w.born(),
 		"capacity": map[string]any{"cpu": w.milliCPU, "mem_mb": 1 << 20, "gpus": 0},
 		"labels":   []string{"a", "r" + strconv.Itoa(len(w.id)%4)},
 	}))
