--- a/soak/tanagersoak/soak.go
+++ b/soak/tanagersoak/soak.go
@@ -160,7 +160,7 @@
 	close(stop)
 	callersDone.Wait()
 	report := c.report(callers, logDir)
-	return report, c.record.Flush()
+	return report, c.record.Close()
 }
 
 // start starts the daemons and waits until all of them are ready.
--- a/soak/tanagersoak/takeovers.go
+++ b/soak/tanagersoak/takeovers.go
@@ -120,30 +120,27 @@
 	return t.between(1500*time.Millisecond, 8*time.Second)
 }
 
-// holder returns the member that the store names as the scheduler, or "".
-func (t *takeovers) holder() string {
+// term is the stored record of the scheduler.
+type term struct {
+	Member string `json:"member"`
+	Epoch  uint64 `json:"epoch"`
+}
+
+// holder returns the term that the store names. It is empty if there is none.
+func (t *takeovers) holder() (h term) {
 	value, exists := t.site.Value(holderKey)
-	if !exists {
-		return ""
-	}
-	var holder struct {
-		Member string `json:"member"`
+	if !exists || tanagerwire.Decode(value, &h) != nil {
+		return term{}
 	}
-	if tanagerwire.Decode(value, &holder) != nil {
-		return ""
-	}
-	return holder.Member
+	return h
 }
 
 // scheduler returns the index of the present scheduler, or a drawn one if there is
 // none.
 func (t *takeovers) scheduler() int {
 	fallback := t.draws.IntN(len(t.daemons))
-	address, _, _ := strings.Cut(t.holder(), "-")
-	for i, d := range t.daemons {
-		if d.peerAddress.String() == address {
-			return i
-		}
+	if i := t.daemonOf(t.holder().Member); i >= 0 {
+		return i
 	}
 	return fallback
 }
@@ -157,26 +154,23 @@
 			return
 		case <-time.After(holderInterval):
 		}
-		if holder := t.holder(); holder != "" && holder != previous {
+		if holder := t.holder(); holder.Epoch > previous.Epoch {
 			t.elections++
 			previous = holder
-			t.record.Note("scheduler", tanagersite.Fields{"member": holder, "daemon": t.daemonNames([]int{t.daemonOf(holder)})})
+			t.record.Note("scheduler", tanagersite.Fields{
+				"member": holder.Member,
+				"epoch":  holder.Epoch,
+				"daemon": t.daemonOf(holder.Member),
+			})
 		}
 	}
 }
 
-// daemonOf returns the index of a member, 0 if it is not known.
+// daemonOf returns the index of a member's daemon, or -1. A member's name begins with
+// the address of its daemon and a slash.
 func (t *takeovers) daemonOf(member string) int {
-	address, _, _ := strings.Cut(member, "-")
-	return max(0, slices.IndexFunc(t.daemons, func(d *daemon) bool { return d.peerAddress.String() == address }))
-}
-
-func (t *takeovers) daemonNames(daemons []int) []string {
-	var names []string
-	for _, i := range daemons {
-		names = append(names, t.daemons[i].name)
-	}
-	return names
+	address, _, _ := strings.Cut(member, "/")
+	return slices.IndexFunc(t.daemons, func(d *daemon) bool { return d.peerAddress.String() == address })
 }
 
 // begin records the begin of a fault.
--- a/tanagerfake/tanagerrelay/relay.go
+++ b/tanagerfake/tanagerrelay/relay.go
@@ -65,7 +65,7 @@
 }
 
 // SourceHeader is the header of the first request on a connection that names its
-// source: the text up to the first hyphen.
+// source: the text up to the first slash.
 const SourceHeader = "Tanager-Member"
 
 // Hold holds back all bytes in both directions, or those of the connections of one
@@ -90,7 +90,7 @@
 	if !found {
 		return ""
 	}
-	source, _, _ := strings.Cut(after, "-")
+	source, _, _ := strings.Cut(after, "/")
 	return source
 }
 
--- a/tanagerfake/tanagerrelay/relay_test.go
+++ b/tanagerfake/tanagerrelay/relay_test.go
@@ -46,8 +46,8 @@
 		return text
 	}
 	release := r.Hold("127.0.0.1:1")
-	held := send("127.0.0.1:1-x")
-	passing := send("127.0.0.1:2-x")
+	held := send("127.0.0.1:1/x")
+	passing := send("127.0.0.1:2/x")
 	c.Check(<-received, qt.Equals, passing)
 	release()
 	c.Check(<-received, qt.Equals, held)
--- a/tanagerfake/tanagersite/record.go
+++ b/tanagerfake/tanagersite/record.go
@@ -12,8 +12,9 @@
 // Record is a record of what a site and its callers see, one JSON object a line.
 // It is safe for concurrent use. A nil Record drops everything.
 type Record struct {
-	mu  sync.Mutex
-	out *bufio.Writer
+	mu     sync.Mutex
+	out    *bufio.Writer
+	closed bool
 }
 
 // NewRecord returns a record that writes to out.
@@ -31,6 +32,9 @@
 	line["event"] = event
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.closed {
+		return
+	}
 	line["time"] = time.Now().UTC().Format(recordTimeFormat)
 	if content, err := json.Marshal(line); err == nil {
 		_, _ = r.out.Write(append(content, '\n'))
@@ -39,12 +43,13 @@
 
 const recordTimeFormat = "2006-01-02T15:04:05.0000Z"
 
-// Flush writes the buffered lines.
-func (r *Record) Flush() error {
+// Close writes the buffered lines. Later ones are dropped.
+func (r *Record) Close() error {
 	if r == nil {
 		return nil
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closed = true
 	return r.out.Flush()
 }
