--- a/tanagerfake/tanagersite/worker.go
+++ b/tanagerfake/tanagersite/worker.go
@@ -153,11 +153,13 @@
 	var listeners []net.Listener
 	isNew := len(w.addresses) == 0
 	for i := range w.site.settings.StoreEndpoints {
-		address := "127.0.0.1:0"
-		if !isNew {
-			address = w.addresses[i]
+		var l net.Listener
+		var err error
+		if isNew {
+			l, err = listenBelowEphemeral()
+		} else {
+			l, err = net.Listen("tcp", w.addresses[i])
 		}
-		l, err := net.Listen("tcp", address)
 		if err != nil {
 			return nil, err
 		}
@@ -170,6 +172,25 @@
 	return listeners, nil
 }
 
+// The ports of links lie below the ephemeral port range, so that no outgoing
+// connection takes them while a worker restarts, and above those of the daemons and
+// of package scenarios. All have the same number of digits.
+const (
+	firstLinkPort      = 31000
+	linkPorts          = 1700
+	maxLinkPortAttempt = 100
+)
+
+func listenBelowEphemeral() (l net.Listener, err error) {
+	for range maxLinkPortAttempt {
+		l, err = net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(firstLinkPort+rand.IntN(linkPorts)))
+		if err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // close stops the worker for good.
 func (w *Worker) close() {
 	w.mu.Lock()
