--- a/soak/tanagersoak/doc.go
+++ b/soak/tanagersoak/doc.go
@@ -14,6 +14,10 @@
 // are known and end; no refused job runs; no task runs twice at a time or after
 // its end was acknowledged; no worker is overcommitted; steps run in order.
 //
+// With Settings.Takeovers the faults are series that make the scheduler change again
+// and again, under the load of a large site, and second starts are checked as the
+// users check them; see docs/SOAK.md.
+//
 // # Usage
 //
 //	report, err := tanagersoak.Run(tanagersoak.Settings{
--- a/tanagerfake/tanagersite/doc.go
+++ b/tanagerfake/tanagersite/doc.go
@@ -9,6 +9,10 @@
 // incarnation, crash under some tasks, or change their capacity. An observer
 // records violations of the scheduler's invariants; see Violations.
 //
+// With Settings.WorkerLinks each worker has an address for the daemon of each store
+// endpoint, so that the path between a daemon and a worker can be cut, and second
+// starts are checked by what workers and callers see.
+//
 // # Usage
 //
 //	site, err := tanagersite.New(tanagersite.Settings{Workers: 12, StoreEndpoints: 3})
