--- a/tanagerfake/tanagersite/observer.go
+++ b/tanagerfake/tanagersite/observer.go
@@ -62,6 +62,7 @@
 	// second checks for second starts. If it is nil, starts beside a run and after an
 	// acknowledged end are violations in any case.
 	second *secondStarts
+	notes  *Record
 }
 
 // capacity is a worker's capacity in thousandths of a core, since a time.
@@ -119,7 +120,9 @@
 
 // addViolation records a violation. The caller holds the lock.
 func (o *observer) addViolation(format string, a ...any) {
-	o.violations = append(o.violations, fmt.Sprintf(format, a...))
+	text := fmt.Sprintf(format, a...)
+	o.violations = append(o.violations, text)
+	o.notes.Note("violation", Fields{"text": text})
 }
 
 // runStarted checks the start of a task on a worker that already runs the tasks
--- a/tanagerfake/tanagersite/second.go
+++ b/tanagerfake/tanagersite/second.go
@@ -107,6 +107,9 @@
 	}
 	if !o.second.inTouch(start.daemon, start.at) {
 		o.second.outOfTouch++
+		o.notes.Note("start_out_of_touch", Fields{
+			"task": task, "run": start.run, "worker": start.worker, "daemon": start.daemon,
+		})
 		return
 	}
 	o.addViolation("task %s: run %d on %s by daemon %d started %v after its job was shown as completed",
--- a/tanagerfake/tanagersite/site.go
+++ b/tanagerfake/tanagersite/site.go
@@ -63,7 +63,7 @@
 		observer: newObserver(),
 		stop:     make(chan struct{}),
 	}
-	site.store.notes = s.Record
+	site.store.notes, site.observer.notes = s.Record, s.Record
 	if s.WorkerLinks {
 		site.observer.second = newSecondStarts()
 	}
