Explore takeovers by random walks of the real daemons in virtual time

tanagercheck runs two or three daemons in a bubble of testing/synctest, with models of the store, the workers, the network between daemons and the callers. A seed chooses jobs, faults and the fate of each call. TWICE, ORDER, UNASKED, LOST, MIXED and REFUSED are checked at the workers, the store and the callers. The transport between daemons takes an optional dialer for this.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
-MODULES := tanager tanagerd tanagerctl tanagerfake tanagerbench scenarios platform soak
+MODULES := tanager tanagerd tanagerctl tanagerfake tanagerbench scenarios platform soak tanagercheck
 BIN := $(CURDIR)/bin
 
-.PHONY: build demo test bench lint format soak
+.PHONY: build demo test bench lint format soak check-orders
 
 build:
 	cd tanagerd && go build -o $(BIN)/tanagerd .
@@ -22,6 +22,10 @@
 	cd soak && go build -o $(BIN)/soak .
 	$(BIN)/soak --binary $(BIN)/tanagerd --first $$(date +%s) --seeds 10
 
+# Explores takeovers by random walks with new seeds.
+check-orders:
+	cd tanagercheck && GOMAXPROCS=1 go test -count=1 -timeout 30m -v -run TestWalks . -seed $$(date +%s)000 -walks 2000
+
 bench:
 	cd tanagerbench && go build -o $(BIN)/tanagerbench .
 	$(BIN)/tanagerbench all
--- a/tanager/tanagerpeer/transport.go
+++ b/tanager/tanagerpeer/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/subtle"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -60,7 +61,7 @@
 	maxFrameBytes = 4 << 20
 )
 
-// Settings configures a Transport. All fields are required.
+// Settings configures a Transport. All fields but Dial are required.
 type Settings struct {
 	// Self is this process's name, unique across restarts.
 	Self string
@@ -74,6 +75,8 @@
 	// message.
 	DialTimeout  time.Duration
 	WriteTimeout time.Duration
+	// Dial opens connections to peers; nil is the system's network.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Directory resolves the names of daemons to addresses.
@@ -118,7 +121,7 @@
 		directory: d,
 		inbox:     make(chan *message.Message, s.InboxLength),
 		client: &http.Client{
-			Transport: &http.Transport{},
+			Transport: &http.Transport{DialContext: s.Dial},
 		},
 		ctx:    ctx,
 		cancel: cancel,
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -49,6 +49,7 @@
 		InboxLength:  peerInboxLength,
 		DialTimeout:  peerDialTimeout,
 		WriteTimeout: peerWriteTimeout,
+		Dial:         s.PeerDial,
 	}, Directory{})
 	c := &control{
 		settings:  s,
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -1,17 +1,21 @@
 package tanagercell
 
 import (
+	"context"
+	"net"
 	"net/netip"
 	"time"
 
 	"tanagersail.example/tanager/tanagerdispatch"
 )
 
-// Settings are the parameters of a daemon. All fields are required.
+// Settings are the parameters of a daemon. All fields but PeerDial are required.
 type Settings struct {
 	Name        string
 	PeerAddress netip.AddrPort
 	PeerToken   string
+	// PeerDial opens connections to other daemons; nil is the system's network.
+	PeerDial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Weight is the daemon's share of a core. Daemons of a higher weight
 	// campaign earlier.
 	Weight float64
