Gather the faults of half of the walks, with longer faults and tasks

Takeovers that nobody refuses need two leases to run out, one after the other. Callers ask for the state of ended jobs too. A walk that a violation ends early does not report jobs as lost.

--- a/tanagercheck/caller.go
+++ b/tanagercheck/caller.go
@@ -12,6 +12,8 @@
 	// submitRetry and askInterval separate the attempts of a caller.
 	submitRetry = 300 * time.Millisecond
 	askInterval = 600 * time.Millisecond
+	// lateAskInterval separates questions about a job that was shown as completed.
+	lateAskInterval = 4 * time.Second
 )
 
 // ask calls a daemon as a caller does. It returns false without an answer in time.
@@ -42,8 +44,8 @@
 	return tanagerport.Result{}, false
 }
 
-// runCaller submits a job until it is accepted, and then asks for its state until it
-// has ended.
+// runCaller submits a job until it is accepted, and then asks for its state until the
+// walk ends.
 func (w *world) runCaller(j *plannedJob) {
 	r := w.random("caller " + string(j.id))
 	if !w.sleep(j.at) {
@@ -62,7 +64,7 @@
 		})
 	}
 	states := w.random("asker " + string(j.id))
-	for w.sleep(askInterval + latency(states)) {
+	for interval := askInterval; w.sleep(interval + latency(states)); {
 		m := w.machines[states.IntN(len(w.machines))]
 		result, answered := w.ask(m, func(ctx context.Context, p *process) tanagerport.Result {
 			return p.daemon.Frontend().State(ctx, j.id)
@@ -72,11 +74,10 @@
 		}
 		w.mu.Lock()
 		w.rules.shown(m, j.id, result)
-		ended := w.rules.jobs[j.id].shown
-		w.mu.Unlock()
-		if ended {
-			return
+		if w.rules.jobs[j.id].shown {
+			interval = lateAskInterval
 		}
+		w.mu.Unlock()
 	}
 }
 
--- a/tanagercheck/plan.go
+++ b/tanagercheck/plan.go
@@ -14,12 +14,14 @@
 	// faultPeriod is the time in which faults begin and jobs are submitted. All
 	// faults have ended by healedAt, and jobs have to end by walkEnd.
 	faultPeriod = 30 * time.Second
-	healedAt    = 40 * time.Second
-	walkEnd     = 75 * time.Second
+	healedAt    = 48 * time.Second
+	walkEnd     = 90 * time.Second
 	// firstFaultAt leaves the daemons time to elect the first scheduler.
 	firstFaultAt = time.Second
-	// maxFaultLength is longer than the leases of workers and schedulers.
-	maxFaultLength = 9 * time.Second
+	// maxFaultLength is longer than it takes until the leases of a scheduler and of
+	// its workers are over, one after the other.
+	maxFaultLength = 16 * time.Second
+	gatherWidth    = 8 * time.Second
 	minFaults      = 2
 	maxFaults      = 9
 	minJobs        = 6
@@ -28,6 +30,7 @@
 	taskMilliCPU   = 1000
 	minTaskTime    = 100 * time.Millisecond
 	maxTaskTime    = 5 * time.Second
+	longTaskTime   = 14 * time.Second
 	// seedStream separates the random numbers of plans from those of calls.
 	seedStream = 0x706c616e
 )
@@ -153,9 +156,25 @@
 	for i := range minJobs + r.IntN(maxJobs-minJobs+1) {
 		p.jobs = append(p.jobs, newJob(r, i))
 	}
+	if r.IntN(2) == 0 {
+		p.gather(r)
+	}
 	return p
 }
 
+// gather moves the faults and most jobs close to each other, so that faults overlap.
+func (p *Plan) gather(r *rand.Rand) {
+	center := firstFaultAt + time.Duration(r.Int64N(int64(faultPeriod-firstFaultAt-gatherWidth)))
+	for i := range p.Faults {
+		p.Faults[i].At = center + time.Duration(r.Int64N(int64(gatherWidth)))
+	}
+	for i := range p.jobs {
+		if r.IntN(4) > 0 {
+			p.jobs[i].at = max(0, center-gatherWidth/2) + time.Duration(r.Int64N(int64(gatherWidth)))
+		}
+	}
+}
+
 // without returns the plan without a fault.
 func (p *Plan) without(fault int) Plan {
 	q := *p
@@ -189,8 +208,11 @@
 	steps := 1 + r.IntN(2)
 	for s := range steps {
 		duration := minTaskTime + time.Duration(r.Int64N(int64(maxTaskTime-minTaskTime)))
-		if r.IntN(2) == 0 {
+		switch r.IntN(6) {
+		case 0, 1, 2:
 			duration = minTaskTime + duration/8
+		case 3:
+			duration += time.Duration(r.Int64N(int64(longTaskTime - maxTaskTime)))
 		}
 		step := tanagerwork.Step{
 			TaskCount: 1,
--- a/tanagercheck/walk.go
+++ b/tanagercheck/walk.go
@@ -37,7 +37,9 @@
 	}
 	w.awaitEnd()
 	w.mu.Lock()
-	w.rules.finish()
+	if len(w.rules.violations) == 0 {
+		w.rules.finish()
+	}
 	result := Result{
 		Plan:       p,
 		Violations: w.rules.violations,
--- a/tanagercheck/walk_test.go
+++ b/tanagercheck/walk_test.go
@@ -11,6 +11,7 @@
 var (
 	firstSeed = flag.Uint64("seed", 1, "first seed")
 	walkCount = flag.Int("walks", 120, "number of walks")
+	budget    = flag.Duration("budget", time.Hour, "time after which no walk begins")
 	goOn      = flag.Bool("go-on", false, "go on after a walk that breaks a rule")
 	verbose   = flag.Bool("verbose", false, "print the trace of every walk, with the logs of the daemons")
 )
@@ -49,6 +50,9 @@
 	var sum totals
 	began := time.Now()
 	for i := range *walkCount {
+		if time.Since(began) > *budget {
+			break
+		}
 		seed := *firstSeed + uint64(i)
 		r := walk(t, NewPlan(seed), *verbose)
 		sum.add(&r)
