--- a/tanagercheck/worker.go
+++ b/tanagercheck/worker.go
@@ -45,9 +45,11 @@
 
 // gang is a run of all tasks of a step.
 type gang struct {
-	members  map[int]*run
-	workers  map[int]*worker
+	members map[int]*run
+	workers map[int]*worker
+	// complete is set while the gang works, until timer fires.
 	complete bool
+	timer    *time.Timer
 }
 
 type gangKey struct {
@@ -244,15 +246,42 @@
 	r.gang = g
 	g.members[r.task.Index] = r
 	g.workers[r.task.Index] = k
-	if len(g.members) < size {
-		k.endLater(k.life, r, gangWait, tanagerport.EndedGangTimeout)
+	k.endLater(k.life, r, gangWait, tanagerport.EndedGangTimeout)
+	if len(g.members) < size || g.isStopping() {
 		return
 	}
 	g.complete = true
-	for index, member := range g.members {
-		on := g.workers[index]
+	for _, member := range g.members {
+		member.timer.Stop()
 		member.workingSince = w.now()
-		on.endLater(on.life, member, duration+time.Duration(index), tanagerport.EndedDone)
+	}
+	g.timer = time.AfterFunc(duration, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.finishGang(g)
+	})
+}
+
+func (g *gang) isStopping() bool {
+	for _, member := range g.members {
+		if member.stopping {
+			return true
+		}
+	}
+	return false
+}
+
+// finishGang ends all members of a gang as done, unless one has ended or is told to
+// stop. The caller holds the lock.
+func (w *world) finishGang(g *gang) {
+	if !g.complete || g.isStopping() {
+		return
+	}
+	for index := range maxGang {
+		if member := g.members[index]; member != nil {
+			on := g.workers[index]
+			on.end(on.life, member, tanagerport.EndedDone)
+		}
 	}
 }
 
