--- a/tanagercheck/machine.go
+++ b/tanagercheck/machine.go
@@ -30,9 +30,10 @@
 	index   int
 	name    string
 	address netip.AddrPort
-	// process is nil while no daemon runs. The world's mutex guards it, startedAt and
-	// pausedUntil.
+	// process is nil while no daemon runs. The world's mutex guards it and the fields
+	// after it.
 	process     *process
+	starting    bool
 	startedAt   time.Duration
 	pausedUntil time.Duration
 }
@@ -63,13 +64,11 @@
 		ended:   make(chan struct{}),
 	}
 	w.mu.Lock()
-	if m.process != nil {
+	if m.process != nil || m.starting {
 		w.mu.Unlock()
 		return
 	}
-	m.process = p
-	m.startedAt = w.now()
-	w.log(m.name, "", "", "starts")
+	m.starting = true
 	w.mu.Unlock()
 	r := w.random(m.name + " weight")
 	p.daemon = tanagercell.New(tanagercell.Settings{
@@ -95,6 +94,11 @@
 	peers.Handle(tanagerpeer.Path, p.daemon.PeerHandler())
 	p.server = &http.Server{Handler: peers}
 	listener := w.network.listen(m.index)
+	w.mu.Lock()
+	m.process, m.starting = p, false
+	m.startedAt = w.now()
+	w.log(m.name, "", "", "starts")
+	w.mu.Unlock()
 	w.spawn(func() { _ = p.server.Serve(listener) })
 	w.spawn(func() { _ = p.daemon.Run() })
 }
