--- a/tanagercheck/network.go
+++ b/tanagercheck/network.go
@@ -96,6 +96,8 @@
 		case <-time.After(cutRetryInterval):
 		case <-ctx.Done():
 			return nil, ctx.Err()
+		case <-w.done:
+			return nil, net.ErrClosed
 		}
 	}
 	w.sleep(latency(r))
--- a/tanagercheck/plan.go
+++ b/tanagercheck/plan.go
@@ -31,8 +31,12 @@
 	minTaskTime    = 100 * time.Millisecond
 	maxTaskTime    = 5 * time.Second
 	longTaskTime   = 14 * time.Second
-	// seedStream separates the random numbers of plans from those of calls.
-	seedStream = 0x706c616e
+	// maxEntryDelay is two of the intervals at which workers write their entries.
+	maxEntryDelay = time.Second
+	// seedStream and optionStream separate the random numbers of plans from those of
+	// calls.
+	seedStream   = 0x706c616e
+	optionStream = 0x6f707469
 )
 
 // Kind is the kind of a fault.
@@ -129,7 +133,10 @@
 	Seed             uint64
 	Daemons, Workers int
 	Faults           []Fault
-	jobs             []plannedJob
+	// MaxEntryDelay is the longest time until a worker that has restarted writes its
+	// entry.
+	MaxEntryDelay time.Duration
+	jobs          []plannedJob
 }
 
 // NewPlan returns the plan of a seed.
@@ -159,9 +166,28 @@
 	if r.IntN(2) == 0 {
 		p.gather(r)
 	}
+	options := rand.New(rand.NewPCG(seed, optionStream))
+	if options.IntN(2) == 0 {
+		p.MaxEntryDelay = maxEntryDelay
+	}
+	if options.IntN(3) == 0 {
+		p.makeGangs(options)
+	}
 	return p
 }
 
+// makeGangs turns most steps into gangs.
+func (p *Plan) makeGangs(r *rand.Rand) {
+	for _, j := range p.jobs {
+		for i := range j.spec.Steps {
+			if r.IntN(4) > 0 {
+				j.spec.Steps[i].Gang = true
+				j.spec.Steps[i].TaskCount = 2 + r.IntN(maxGang-1)
+			}
+		}
+	}
+}
+
 // gather moves the faults and most jobs close to each other, so that faults overlap.
 func (p *Plan) gather(r *rand.Rand) {
 	center := firstFaultAt + time.Duration(r.Int64N(int64(faultPeriod-firstFaultAt-gatherWidth)))
--- a/tanagercheck/walk.go
+++ b/tanagercheck/walk.go
@@ -23,6 +23,7 @@
 	w.store.set(configKey, []byte("configuration"))
 	for _, k := range w.workers {
 		k.begin(false)
+		k.publish()
 	}
 	w.mu.Unlock()
 	for _, m := range w.machines {
--- a/tanagercheck/worker.go
+++ b/tanagercheck/worker.go
@@ -115,7 +115,6 @@
 		gone:        make(chan struct{}),
 	}
 	k.world.log(k.id, "", "", "starts as incarnation %d", k.lastIncarnation)
-	k.publish()
 }
 
 // publish writes or removes the worker's entry.
@@ -177,8 +176,18 @@
 		return
 	}
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	k.begin(lower)
+	w.mu.Unlock()
+	if w.plan.MaxEntryDelay > 0 {
+		delay := time.Duration(w.random("entry " + k.id).Int64N(int64(w.plan.MaxEntryDelay)))
+		if !w.sleep(delay) {
+			return
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	k.publish()
+	w.log(k.id, "store", "", "writes its entry")
 }
 
 // expire ends all runs once the lease is over. The caller holds the lock.
