--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -171,7 +171,7 @@
 		record:    record,
 		queue:     c.findOrAddQueue(record.Queue, record.Service),
 		state:     tanagerwork.Queued,
-		inherited: record.Epoch < c.epoch && len(c.predecessorLeases) > 0,
+		inherited: record.Epoch < c.epoch && (len(c.predecessorLeases) > 0 || now.Before(c.predecessorEndsAt)),
 	}
 	j.queue.adoptPolicy(record.Policy)
 	j.objective = j.queue.objective(&record.Spec)
@@ -190,6 +190,9 @@
 	c.createOccurrences(now, j)
 	if progress != nil {
 		j.started = progress.Started
+		if j.started {
+			j.state = tanagerwork.Running
+		}
 		c.restore(j, progress)
 	}
 	c.logEvent(LogEvent{
@@ -219,8 +222,8 @@
 }
 
 // createOccurrencesThrough creates the steps of the occurrences up to one that a
-// scheduler has started, according to the store or to a worker. Its time may not
-// have come by the clock of this daemon.
+// scheduler has started, according to a worker. Its time may not have come by the
+// clock of this daemon.
 func (c *Cell) createOccurrencesThrough(j *job, occurrence int) {
 	for j.hasFutureOccurrence() && j.nextOccurrence <= occurrence &&
 		!j.nextDue().After(c.now.Add(maxClockDifference)) {
@@ -387,7 +390,7 @@
 	return true
 }
 
-// markStarted records that a task of a job has been started.
+// markStarted records that a worker has started a task of a job.
 func (c *Cell) markStarted(j *job) {
 	if j.state == tanagerwork.Queued {
 		j.state = tanagerwork.Running
@@ -412,16 +415,6 @@
 	return j.state, true
 }
 
-// UnstoredCompletion reports whether a job has completed and its state is not in
-// the store yet, and since when.
-func (c *Cell) UnstoredCompletion(id tanagerwork.JobID) (time.Time, bool) {
-	j, known := c.jobs[id]
-	if !known || j.state != tanagerwork.Completed || j.storedVersion >= j.progressVersion {
-		return time.Time{}, false
-	}
-	return j.endedAt, true
-}
-
 // Pending returns, by queue, the number of jobs of which no task has started, for
 // the queues that have such jobs. Recurring jobs are not counted.
 func (c *Cell) Pending() map[string]int {
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -51,6 +51,7 @@
 		w.ended = make(map[int64]bool)
 	}
 	w.ended[w.incarnation] = true
+	w.replacedAt = c.now
 	w.incarnation = incarnation
 	w.synced = false
 	w.attemptsExpireAt = c.now.Add(2*c.settings.Lease + leaseExpiryMargin)
@@ -64,10 +65,14 @@
 	w.reportedIdle = false
 	w.pollInFlight = false
 	w.nextPollAt = c.now
+	if c.now.Before(c.predecessorEndsAt) {
+		// The new incarnation does not refuse the predecessor's epoch yet.
+		c.awaitPredecessorLease(w.id)
+	}
 }
 
-// loseAttempts removes all attempts of a worker after their runs have certainly
-// ended, because the worker has restarted or its lease has expired.
+// loseAttempts removes all attempts and orphans of a worker after their runs have
+// certainly ended, because the worker has restarted or its lease has expired.
 func (c *Cell) loseAttempts(w *worker, reason string, restarted bool) {
 	c.suspectAttempts(w, restarted)
 	for _, a := range slices.Clone(w.attempts) {
@@ -82,6 +87,8 @@
 		})
 		c.loseAttempt(a)
 	}
+	w.orphans = nil
+	w.setOrphanUsage(tanagerwork.Resources{})
 }
 
 // loseAttempt removes an attempt whose run has certainly ended without a reported
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strings"
 	"sync/atomic"
@@ -55,8 +56,10 @@
 	leader        leaderState
 	configuration *tanagerport.Configuration
 	workers       map[string]tanagerport.WorkerEntry
-	// workersRevision is the store's revision that workers reflects.
+	// workersRevision is the store's revision that workers reflects, and entryRevisions
+	// are those of the entries by key.
 	workersRevision int64
+	entryRevisions  map[string]int64
 	// missingWorkers are the workers whose entries were missing after an outage of
 	// the store, with the time at which they are taken to be gone.
 	missingWorkers map[string]time.Time
@@ -72,6 +75,8 @@
 	authority *authority
 	// followed is the last broadcast of a scheduler that this daemon has received.
 	followed followedBroadcast
+	// laterJobs are jobs that were accepted under a later epoch than that of the term.
+	laterJobs []jobAdded
 	// lastTermEpoch is the epoch of the present or last term. It is served once.
 	lastTermEpoch uint64
 	// termStartedAt is the start of the current or last term; announceTo lists
@@ -376,8 +381,9 @@
 	}
 }
 
-// apply ignores a listing from before a change that has been applied: the
-// listings of a takeover and of a watch can overtake each other.
+// apply ignores a listing from before a change that has been applied, and entries from
+// before a later one: the pages of a takeover and of two watches can overtake each
+// other.
 func (e workerUpdate) apply(c *control) {
 	if e.snapshot && e.page.Revision < c.workersRevision {
 		return
@@ -386,8 +392,13 @@
 	prefix := c.ports.Decoder.WorkerPrefix()
 	if e.snapshot {
 		c.removeUnlisted(e.page.Items)
+		maps.DeleteFunc(c.entryRevisions, func(_ string, revision int64) bool { return revision <= e.page.Revision })
 	}
 	for _, item := range e.page.Items {
+		if item.Revision < c.entryRevisions[item.Key] {
+			continue
+		}
+		c.entryRevisions[item.Key] = item.Revision
 		if item.Deleted {
 			c.removeWorker(strings.TrimPrefix(item.Key, prefix))
 			continue
@@ -476,19 +487,5 @@
 		return response
 	}
 	response.State, response.Known = c.cell.State(id)
-	if endedAt, unstored := c.cell.UnstoredCompletion(id); unstored && c.storeIsSlow(endedAt) {
-		response.State = tanagerwork.Completed
-	}
 	return response
 }
-
-// storeIsSlow reports whether a write that has been due since the given time is
-// late although the store answers other calls. The state of a job that completed
-// then is reported before it is stored. Its workers keep the ends until the write
-// is done, and report them to a successor, so the result is lost only if the
-// scheduler and such a worker fail during that write. In an outage, which can
-// last for seconds, nothing is reported before it is stored.
-func (c *control) storeIsSlow(since time.Time) bool {
-	now := c.timer.Now()
-	return c.storeUp && now.Sub(since) > slowWriteThreshold && now.Sub(c.lastStoreSuccess) < maxStoreSuccessAge
-}
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -114,6 +114,7 @@
 		events:         make(chan event, 64),
 		workers:        make(map[string]tanagerport.WorkerEntry),
 		missingWorkers: make(map[string]time.Time),
+		entryRevisions: make(map[string]int64),
 		stateReplies:   make(map[uint64]chan stateResponse),
 		forwardReplies: make(map[uint64]chan tanagerport.Reply),
 		lastReset:      make(map[string]time.Time),
@@ -225,16 +226,20 @@
 	c.becomeScheduler(3)
 	c.cell.AddPredecessorWorkers(c.timer.Now(), []string{"w"})
 	c.cell.SetWorkers(c.timer.Now(), []tanagerport.WorkerEntry{{ID: "w"}})
+	report := tanagerport.Report{
+		Response: tanagerport.Response{Status: tanagerport.Accepted},
+		Complete: true,
+	}
 	pollCallFinished{
 		term:   earlier,
 		order:  tanagerdispatch.PollOrder{Worker: tanagerport.WorkerRef{ID: "w"}},
-		report: tanagerport.Report{Response: tanagerport.Response{Status: tanagerport.Accepted}},
+		report: report,
 	}.apply(c)
 	qt.New(t).Assert(c.cell.Load().PredecessorWorkers, qt.Equals, 1)
 	pollCallFinished{
 		term:   c.term,
 		order:  tanagerdispatch.PollOrder{Worker: tanagerport.WorkerRef{ID: "w"}},
-		report: tanagerport.Report{Response: tanagerport.Response{Status: tanagerport.Accepted}},
+		report: report,
 	}.apply(c)
 	qt.New(t).Assert(c.cell.Load().PredecessorWorkers, qt.Equals, 0)
 }
@@ -414,3 +419,32 @@
 	q.Assert(c.cell, qt.IsNotNil)
 	q.Assert(c.cell.Epoch(), qt.Equals, uint64(2))
 }
+
+// Guards against a job that is lost to a scheduler that is elected again: the job was
+// accepted under the new epoch, and became known before the result of the election.
+func TestJobOfTheNextEpochIsKept(t *testing.T) {
+	c := newTestControl(t)
+	c.becomeScheduler(1)
+	const id = "0000000000000001"
+	jobAdded{record: tanagerwork.Record{
+		ID:    id,
+		Queue: "q",
+		Epoch: 2,
+		Spec: tanagerwork.Spec{Steps: []tanagerwork.Step{{
+			TaskCount: 1,
+			Resources: tanagerwork.Resources{MilliCPU: 1000},
+			Estimate:  time.Second,
+		}}},
+	}}.apply(c)
+	q := qt.New(t)
+	q.Assert(c.jobState(id, 1).Known, qt.IsFalse)
+	campaignFinished{result: electionResult{
+		holder: holderRecord{
+			Member: self,
+			Epoch:  2,
+		},
+		epochRevision:  20,
+		holderRevision: 20,
+	}}.apply(c)
+	q.Assert(c.jobState(id, 1).Known, qt.IsTrue)
+}
--- a/tanagerd/tanagercell/takeover.go
+++ b/tanagerd/tanagercell/takeover.go
@@ -18,6 +18,7 @@
 	revisions      map[tanagerwork.JobID]int64
 	cancelled      []tanagerwork.JobID
 	roster         []string
+	daemons        []string
 	rosterRevision int64
 	// intakeRevision is the store's revision from which the intake was read.
 	intakeRevision int64
@@ -61,6 +62,7 @@
 	c.loading = true
 	c.writer = newStoreWriter()
 	c.authority = newAuthority(c.termStartedAt)
+	c.laterJobs = nil
 	c.members = make(map[string]member)
 	c.cell = tanagerdispatch.New(c.settings.Dispatch, c.leader.epoch, c.timer.Now())
 	c.log.Info().Str("event", "scheduler_start").Uint64("epoch", c.leader.epoch).Send()
@@ -148,6 +150,7 @@
 			return err
 		}
 		s.roster = roster.Workers
+		s.daemons = roster.Daemons
 		s.rosterRevision = item.Revision
 	}
 	return nil
@@ -173,6 +176,8 @@
 	if c.isLeader() {
 		c.confirmAuthority(e.state.requestedAt)
 	}
+	c.authority.addElectorate(e.state.daemons, c.member, now)
+	c.writer.storedDaemons = e.state.daemons
 	workerUpdate{
 		page:     e.state.workers,
 		snapshot: true,
@@ -252,6 +257,9 @@
 	case c.cell == nil:
 	case c.loading:
 		c.deferred = append(c.deferred, e)
+	case e.record.Epoch > c.cell.Epoch():
+		// The election that this daemon has not heard of yet may be its own.
+		c.laterJobs = append(c.laterJobs, e)
 	default:
 		c.cell.AddJob(c.timer.Now(), e.record, nil)
 	}
