--- a/tanagercheck/walk_test.go
+++ b/tanagercheck/walk_test.go
@@ -80,6 +80,15 @@
 	// A run of a replaced scheduler reached a worker that had restarted. The successor
 	// started the task again while that run was being stopped.
 	500086,
+	// A scheduler without the store took over tasks of workers that it could not reach,
+	// beside its successor.
+	10521,
+	// A scheduler without the store went on with the workers that it reached, beside
+	// its successor.
+	10003,
+	// An incarnation with a lower number was taken for the former one, and its ends for
+	// those that had been applied.
+	10028,
 }
 
 func TestSavedWalks(t *testing.T) {
