Add no process to the electorate that another has replaced

A scheduler that had heard a daemon's new process before it read the store added the former one, as the predecessor had stored it. It could not follow any more, so that in an outage the right to extend leases ended 1.7 s in, for up to 30 s after the takeover.

TestStoredElectorateKeepsNoFormerProcess fails without the check. A comment is wrapped.

--- a/tanagerd/tanagercell/authority.go
+++ b/tanagerd/tanagercell/authority.go
@@ -1,7 +1,6 @@
 package tanagercell
 
 import (
-	"net/netip"
 	"slices"
 	"time"
 
@@ -19,9 +18,10 @@
 //     at which the call was sent;
 //   - or every other daemon still followed it: a daemon that has been elected sends no
 //     heartbeats to another. The daemons are those that have sent heartbeats in this
-//     term and those that the predecessor has stored in the roster. A heartbeat names the last broadcast that the daemon has
-//     received, and the time is that at which this broadcast was sent, so that a
-//     heartbeat that was delayed, or read after a pause, counts as old.
+//     term and those that the predecessor has stored in the roster. A heartbeat names
+//     the last broadcast that the daemon has received, and the time is that at which
+//     this broadcast was sent, so that a heartbeat that was delayed, or read after a
+//     pause, counts as old.
 //
 // In an outage with all daemons alive the scheduler therefore goes on.
 
@@ -108,12 +108,20 @@
 }
 
 func (a *authority) forgetFormerProcesses(name string) {
-	address, _ := Directory{}.Address(name)
+	if former, known := a.processAt(name); known {
+		delete(a.followers, former)
+	}
+}
+
+// processAt returns the follower at the address of a daemon.
+func (a *authority) processAt(name string) (string, bool) {
+	address, valid := Directory{}.Address(name)
 	for other := range a.followers {
-		if o, known := (Directory{}).Address(other); known && o == address && address != (netip.AddrPort{}) {
-			delete(a.followers, other)
+		if o, known := (Directory{}).Address(other); valid && known && o == address {
+			return other, true
 		}
 	}
+	return "", false
 }
 
 // exited records that a daemon's process has exited. It is forgotten with the next
@@ -125,10 +133,11 @@
 	}
 }
 
-// addElectorate adds the daemons that a predecessor has stored.
+// addElectorate adds the daemons that a predecessor has stored, except those whose
+// process has been replaced.
 func (a *authority) addElectorate(names []string, self string, now time.Time) {
 	for _, name := range names {
-		if _, known := a.followers[name]; !known && name != self {
+		if _, known := a.processAt(name); !known && name != self {
 			a.followers[name] = follower{heardAt: now}
 		}
 	}
--- a/tanagerd/tanagercell/authority_test.go
+++ b/tanagerd/tanagercell/authority_test.go
@@ -146,3 +146,12 @@
 	c.advance(time.Minute)
 	q.Assert(c.authority.until(c.timer.Now()), qt.Equals, start.Add(tanagerdispatch.RenewalWindow))
 }
+
+// The stored electorate may name a process that another has replaced since.
+func TestStoredElectorateKeepsNoFormerProcess(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	a := newAuthority(now)
+	a.followedBy("10.0.0.2:1/again", 0, now)
+	a.addElectorate([]string{peerOne, peerTwo, self}, self, now)
+	qt.Assert(t, a.electorate(), qt.DeepEquals, []string{"10.0.0.2:1/again", peerTwo})
+}
