--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,8 +23,8 @@
 const limit = 110 * time.Second
 
 // registerDelay is how long after its start a new life of a minion writes its first
-// entry: less than a heartbeat.
-const registerDelay = 800 * time.Millisecond
+// entry, much less than a heartbeat.
+const registerDelay = 300 * time.Millisecond
 
 // play runs a case. It returns a description of each break of the rule.
 type play func(rec *record, dir string, trouble bool) (broken []string, err error)
@@ -34,7 +34,6 @@
 	"progress": playProgress,
 	"count":    playCount,
 	"lease":    playLease,
-	"budget":   playBudget,
 	"cap":      playCap,
 }
 
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -20,8 +20,6 @@
 	stopGrace = 50 * time.Millisecond
 	// maxListed is the largest number of ends in an answer.
 	maxListed = 500
-	// startup is how long a task that lasts takes until it is at work.
-	startup = 300 * time.Millisecond
 	// olderClock is the reading of the clock of a machine that has run for a while.
 	olderClock = 10 * time.Minute
 )
@@ -29,7 +27,6 @@
 // taskSpec is what a client asks of a task, as far as the minions need it.
 type taskSpec struct {
 	duration time.Duration
-	lasts    bool
 	cpu      int64
 }
 
@@ -47,15 +44,7 @@
 }
 
 func (r *run) percent(now time.Time) int {
-	whole := r.spec.duration
-	if r.spec.lasts {
-		whole = startup
-	}
-	p := int(100 * now.Sub(r.began) / whole)
-	if r.spec.lasts {
-		return min(p, 100)
-	}
-	return min(p, 99)
+	return min(int(100*now.Sub(r.began)/r.spec.duration), 99)
 }
 
 // minion is one machine with the minion that lives on it.
@@ -63,8 +52,6 @@
 	world   *world
 	machine string
 	address string
-	// latency is the time that each call takes.
-	latency time.Duration
 
 	mu       sync.Mutex
 	server   *http.Server
@@ -82,10 +69,13 @@
 	lease    time.Duration
 	lastSeen int64
 	lastEnd  int64
-	runs     map[string]*run
-	highest  map[string]int64
-	ends     [][]any
-	changed  chan struct{}
+	// lookedAt is when the last hold came, answeredAt when one was last answered.
+	lookedAt   time.Time
+	answeredAt time.Time
+	runs       map[string]*run
+	highest    map[string]int64
+	ends       [][]any
+	changed    chan struct{}
 }
 
 func newMinion(w *world, number int, kind string, cpu int64) (*minion, error) {
@@ -147,6 +137,7 @@
 	for range 100 {
 		if listener, err = net.Listen("tcp", m.address); err == nil {
 			m.begin(id, 0, listener)
+			time.AfterFunc(registerDelay, m.register)
 			return nil
 		}
 		time.Sleep(10 * time.Millisecond)
@@ -216,9 +207,6 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		if m.latency > 0 {
-			time.Sleep(m.latency)
-		}
 		m.mu.Lock()
 		cut, id := m.cut, m.id
 		m.mu.Unlock()
@@ -322,11 +310,7 @@
 		life:   m.life,
 	}
 	m.runs[o.Task] = r
-	whole := r.spec.duration
-	if r.spec.lasts {
-		whole = time.Hour
-	}
-	r.timer = time.AfterFunc(whole, func() { m.end(r, "done") })
+	r.timer = time.AfterFunc(r.spec.duration, func() { m.end(r, "done") })
 	m.world.began(r, o, m.lease-m.clock())
 	return http.StatusOK, map[string]any{}
 }
@@ -390,6 +374,7 @@
 		m.mu.Unlock()
 		return refusal("fence")
 	}
+	m.lookedAt = time.Now()
 	if o.DeadlineMS > 0 {
 		m.extend(o.DeadlineMS)
 	}
@@ -413,6 +398,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
+	m.answeredAt = now
 	running := make([][]any, 0, len(m.runs))
 	for _, r := range m.runs {
 		running = append(running, []any{r.task, r.number, "", r.percent(now), 0})
@@ -423,3 +409,23 @@
 		"finished": append([][]any{}, m.ends[:min(len(m.ends), maxListed)]...),
 	}
 }
+
+// awaitAnswer waits until a hold has just been answered.
+func (m *minion) awaitAnswer(timeout time.Duration) bool {
+	before := time.Now()
+	return awaitEvery(timeout, time.Millisecond, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.answeredAt.After(before)
+	})
+}
+
+// awaitLook waits until the last hold came a given time ago.
+func (m *minion) awaitLook(timeout, ago time.Duration) bool {
+	return awaitEvery(timeout, time.Millisecond, func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		since := time.Since(m.lookedAt)
+		return since >= ago && since < ago+100*time.Millisecond
+	})
+}
