Review cases: run.sh names its record, and no check is stricter than its rule

Case 8 counts only jobs without an answer, and own ends as the Fault puts them. Cases 6 and 7 check the room for a task twice over.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -190,22 +190,33 @@
 	}
 	rec.note("%d of %d jobs accepted", len(accepted), jobs)
 	time.Sleep(finish)
-	var broken []string
+	var broken, answered []string
 	for _, id := range accepted {
-		before := len(runsOf(w, id))
-		if state := w.state(id); state != "completed" {
-			broken = append(broken, fmt.Sprintf("LOST: job %s was accepted; 14 s after the traffic its state is %q, %d starts seen",
-				id, state, before))
+		if w.state(id) != "" {
+			answered = append(answered, id)
+			continue
 		}
+		broken = append(broken, fmt.Sprintf("LOST: job %s was accepted; 14 s after the traffic it isn't known or gets no answer", id))
 	}
-	ends := 0
+	broken = append(broken, idle(w, answered, 2)...)
+	return append(broken, ownEnds(w)...), nil
+}
+
+// ownEnds returns the fault of processes that end by themselves three times on at
+// least two machines.
+func ownEnds(w *world) []string {
+	var often []string
 	for _, d := range w.daemons {
-		ends += d.selfEnds()
+		n := d.selfEnds()
+		w.rec.note("process %s ended by itself %d times", d.name, n)
+		if n >= 3 {
+			often = append(often, fmt.Sprintf("%s %d times", d.name, n))
+		}
 	}
-	if ends > 0 {
-		broken = append(broken, fmt.Sprintf("Fault: processes ended by themselves %d times without a disruption there", ends))
+	if len(often) < 2 {
+		return nil
 	}
-	return broken, nil
+	return []string{"Fault: processes ended by themselves: " + strings.Join(often, ", ")}
 }
 
 // playProgress: a recurring job of many short steps runs beside small ones.
@@ -222,7 +233,6 @@
 		return nil, err
 	}
 	defer w.close()
-	w.quiet = true
 	if err := w.awaitReady(); err != nil {
 		return nil, err
 	}
@@ -233,6 +243,7 @@
 			duration: work,
 			cpu:      10,
 		}
+		w.counted = id
 		w.mu.Unlock()
 		job := map[string]any{
 			"spec":        "recurring",
@@ -261,6 +272,7 @@
 			accepted = append(accepted, id)
 		}
 	}
+	rec.note("%d runs of the recurring job", len(runsOf(w, w.counted)))
 	rec.note("%d small jobs accepted, the store has refused %d writes for their size", len(accepted), w.tooLarge)
 	time.Sleep(finish)
 	return idle(w, accepted, smallTasks), nil
@@ -269,44 +281,53 @@
 // smallTasks is the number of tasks of a small job of playProgress.
 const smallTasks = 4
 
-// idle returns the jobs, of some tasks each, that have nothing running for 3 s while a task's turn has come,
-// with more than half of the service's capacity free all the while.
+// idle returns the jobs, of some tasks each, that have nothing running for 3 s while a
+// task's turn has come, there is room for it twice over, and under half of the service's
+// capacity is in use.
 func idle(w *world, accepted []string, tasks int) []string {
 	const span = 3 * time.Second
 	stuck := make(map[string]string)
 	for _, id := range accepted {
 		stuck[id] = ""
 	}
-	inUse := int64(0)
+	capacity := int64(0)
+	for _, m := range w.minions {
+		capacity += m.cpu
+	}
+	most, room := int64(0), int64(math.MaxInt64)
 	for end := time.Now().Add(span); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		running := make(map[string]bool)
-		done := make(map[string]int)
-		used := int64(0)
+		running, done := make(map[string]bool), make(map[string]map[string]bool)
+		used := make(map[*minion]int64)
+		inUse := int64(0)
 		for _, r := range w.allRuns() {
 			job, _, _ := strings.Cut(r.task, ".")
 			switch {
 			case r.endedAt.IsZero():
 				running[job] = true
-				used += r.spec.cpu
+				used[r.minion] += r.spec.cpu
+				inUse += r.spec.cpu
 			case r.how == "done":
-				done[job]++
+				if done[job] == nil {
+					done[job] = make(map[string]bool)
+				}
+				done[job][r.task] = true
 			}
 		}
-		inUse = max(inUse, used)
+		most = max(most, inUse)
 		for id := range stuck {
-			if running[id] || done[id] == tasks {
+			if running[id] || len(done[id]) == tasks {
 				delete(stuck, id)
 				continue
 			}
-			stuck[id] = fmt.Sprintf("%d of %d tasks done", done[id], tasks)
+			room = min(room, roomFor(w, used, w.specOf(id).cpu))
+			stuck[id] = fmt.Sprintf("%d of %d tasks done", len(done[id]), tasks)
 		}
 	}
-	capacity := int64(0)
-	for _, m := range w.minions {
-		capacity += m.cpu
+	if len(stuck) == 0 {
+		return nil
 	}
-	w.rec.note("at most %d of %d thousandths of a core in use", inUse, capacity)
-	if 2*inUse >= capacity {
+	w.rec.note("at most %d of %d thousandths of a core in use, room for a task at least %d times", most, capacity, room)
+	if 2*most >= capacity || room < 2 {
 		return nil
 	}
 	var broken []string
@@ -319,6 +340,15 @@
 	return broken
 }
 
+// roomFor returns how many tasks of a size fit on the minions beside what runs there.
+func roomFor(w *world, used map[*minion]int64, cpu int64) int64 {
+	room := int64(0)
+	for _, m := range w.minions {
+		room += max(m.cpu-used[m], 0) / cpu
+	}
+	return room
+}
+
 // playCordon: a wave has completed. Later the scheduler gets SIGTERM, under load.
 func playCordon(rec *record, dir string, trouble bool) ([]string, error) {
 	const (
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -4,9 +4,9 @@
 //
 // # Usage
 //
-//	stand CASE FOLDER
+//	stand CASE RECORD
 //
-// It runs in the repository's root, writes record.txt into FOLDER and exits with 1 if
+// It runs in the repository's root, writes what is seen to the file RECORD and exits with 1 if
 // the rule was broken, 0 if it held and 2 if the case could not run.
 package main
 
@@ -14,7 +14,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"path/filepath"
 	"syscall"
 	"time"
 )
@@ -39,14 +38,14 @@
 
 func main() {
 	if len(os.Args) != 3 || plays[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD")
 		os.Exit(2)
 	}
 	os.Exit(playCase(os.Args[1], os.Args[2]))
 }
 
-func playCase(name, folder string) int {
-	rec, err := newRecord(filepath.Join(folder, "record.txt"))
+func playCase(name, path string) int {
+	rec, err := newRecord(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
--- a/review/stand/minion.go
+++ b/review/stand/minion.go
@@ -380,9 +380,7 @@
 	}
 	m.lastSeen = max(m.lastSeen, o.LastSeen)
 	for len(m.ends) > 0 && m.ends[0][0].(int64) <= m.lastSeen {
-		if !m.world.quiet {
-			m.world.rec.note("minion %s: end %v taken note of", m.id, m.ends[0])
-		}
+		m.world.noted(m.id, m.ends[0])
 		m.ends = m.ends[1:]
 	}
 	waits, changed := len(m.ends) == 0 && o.WaitMS > 0, m.changed
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -54,8 +54,8 @@
 	mu    sync.Mutex
 	specs map[string]taskSpec
 	runs  []*run
-	// quiet leaves single runs and ends out of the record.
-	quiet bool
+	// counted is a job whose many runs are only counted in the record.
+	counted string
 	// tooLarge counts the writes that the store refused for their size.
 	tooLarge int
 }
@@ -476,7 +476,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.runs = append(w.runs, r)
-	if w.quiet {
+	if w.isCounted(r.task) {
 		return
 	}
 	w.rec.note("minion %s (life %d) starts %s run %d, token %d, deadline %d ms, lease now %v", r.minion.id, r.life,
@@ -488,12 +488,27 @@
 	defer w.mu.Unlock()
 	r.endedAt = time.Now()
 	r.how = how
-	if w.quiet {
+	if w.isCounted(r.task) {
 		return
 	}
 	w.rec.note("minion %s (life %d) ends %s run %d: %s", r.minion.id, r.life, r.task, r.number, how)
 }
 
+// noted records that an end was taken note of.
+func (w *world) noted(minion string, end []any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if task, _ := end[1].(string); !w.isCounted(task) {
+		w.rec.note("minion %s: end %v taken note of", minion, end)
+	}
+}
+
+// isCounted reports whether a task is of the job whose runs are only counted. The
+// caller holds the lock.
+func (w *world) isCounted(task string) bool {
+	return w.counted != "" && strings.HasPrefix(task, w.counted+".")
+}
+
 // allRuns returns copies of all runs that were seen.
 func (w *world) allRuns() []run {
 	w.mu.Lock()
