--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -355,7 +355,7 @@
 		machines  = 8
 		limitDown = 2
 		open      = 60
-		work      = time.Second
+		work      = 1500 * time.Millisecond
 		traffic   = 50 * time.Second
 	)
 	w, err := newWorld(rec, dir, 3, kindsOf(machines, "std"), 4000)
