--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -154,10 +154,13 @@
 	Task   tanagerwork.TaskName
 	Run    int64
 	Worker string
-	// Incarnation is that of the worker, for what it has reported, and
+	// Incarnation is that of the worker, for orders to it and what it has reported, and
 	// SequenceNumber the number of a reported end.
 	Incarnation, SequenceNumber int64
-	Reason                      string
+	// Clock is the worker's clock and LeaseEnd the latest deadline that was sent to it,
+	// on that clock.
+	Clock, LeaseEnd time.Duration
+	Reason          string
 	// Forecast is the wait that was forecast for a new job.
 	Forecast time.Duration
 	// Age is the age of the information behind the decision, the time since the
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -84,6 +84,10 @@
 			Run:    a.run,
 			Worker: w.id,
 			Reason: reason,
+
+			Incarnation: a.incarnation,
+			Clock:       w.estimatedClock(c.now),
+			LeaseEnd:    w.leaseEnd,
 		})
 		c.loseAttempt(a)
 	}
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -225,6 +225,8 @@
 		Name:        "worker_synced",
 		Worker:      w.id,
 		Incarnation: w.incarnation,
+		Clock:       w.clock,
+		LeaseEnd:    w.leaseEnd,
 	})
 }
 
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -59,6 +59,7 @@
 		w.probationUntil = c.now.Add(crashWindow)
 	}
 	c.counters.Starts++
+	c.sendStart(a)
 	c.logEvent(LogEvent{
 		Name:   "run_start",
 		Job:    s.job.record.ID,
@@ -67,8 +68,10 @@
 		Run:    run,
 		Worker: w.id,
 		Age:    c.now.Sub(s.job.record.Arrived),
+
+		Incarnation: w.incarnation,
+		LeaseEnd:    w.leaseEnd,
 	})
-	c.sendStart(a)
 }
 
 func (c *Cell) sendStart(a *attempt) {
--- a/tanagerd/tanagercell/execute.go
+++ b/tanagerd/tanagercell/execute.go
@@ -177,6 +177,12 @@
 	if e.SequenceNumber != 0 {
 		entry = entry.Int64("end", e.SequenceNumber)
 	}
+	if e.Clock != 0 {
+		entry = entry.Dur("clock_ms", e.Clock)
+	}
+	if e.LeaseEnd != 0 {
+		entry = entry.Dur("lease_end_ms", e.LeaseEnd)
+	}
 	if e.Reason != "" {
 		entry = entry.Str("reason", e.Reason)
 	}
