--- a/tanager/tanagerdispatch/incarnation_test.go
+++ b/tanager/tanagerdispatch/incarnation_test.go
@@ -157,3 +157,27 @@
 	h.setWorkers(foreign)
 	h.c.Assert(h.cell.workers["a"].entry.Service, qt.Equals, testService)
 }
+
+// Guards against a lease that is extended by the clock of a worker's former incarnation: its
+// response to an order was read after the next incarnation had reported.
+func TestClockOfFormerIncarnationIsIgnored(t *testing.T) {
+	const age = 10 * time.Second
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	start := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.setWorkers(testWorker("a", 2))
+	former := h.clock
+	h.clock = age
+	h.openPolls = nil
+	h.tick(20 * time.Millisecond)
+	h.respondToPolls(tanagerport.Report{})
+	h.cell.HandleStartResponse(h.now, start, tanagerport.Response{
+		Status: tanagerport.Accepted,
+		Clock:  former,
+	}, nil)
+	h.tick(50 * time.Millisecond)
+	deadline := pollOf(h.openPolls, "a").Poll.Deadline
+	h.c.Assert(deadline > age, qt.IsTrue)
+	h.c.Assert(deadline <= h.clock+testSettings().Lease, qt.IsTrue, qt.Commentf("%v", deadline))
+}
--- a/tanager/tanagerdispatch/lease.go
+++ b/tanager/tanagerdispatch/lease.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"tanagersail.example/tanager/tanagerport"
 	"tanagersail.example/tanager/tanagerwork"
 )
 
@@ -25,6 +26,14 @@
 	}
 }
 
+// recordResponseClock stores the clock of a response to an order, unless the order was
+// meant for a former incarnation, whose clock has nothing to do with the present one.
+func (w *worker) recordResponseClock(to tanagerport.WorkerRef, r tanagerport.Response, at time.Time) {
+	if to.Incarnation == w.incarnation && r.Status != tanagerport.OtherIncarnation {
+		w.recordClock(r.Clock, at)
+	}
+}
+
 // extendLease returns the deadline of a new lease on the worker's clock, and
 // includes it in the latest deadline that was sent.
 func (w *worker) extendLease(now time.Time, lease time.Duration) time.Duration {
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -101,7 +101,7 @@
 	}
 	w := a.worker
 	if err == nil {
-		w.recordClock(response.Clock, now)
+		w.recordResponseClock(order.Worker, response, now)
 	}
 	switch {
 	case err == nil && response.Status == tanagerport.Accepted:
@@ -330,7 +330,7 @@
 	}
 	switch response.Status {
 	case tanagerport.Accepted, tanagerport.Outdated:
-		a.worker.recordClock(response.Clock, now)
+		a.worker.recordResponseClock(order.Worker, response, now)
 		a.stopAcceptedAt = now
 	case tanagerport.Fenced:
 		c.handleFenced(order.Stop.Epoch)
