--- a/tanager/tanagerdispatch/end.go
+++ b/tanager/tanagerdispatch/end.go
@@ -128,7 +128,11 @@
 		failures = &s.gang.failures
 		c.endGangRun(s, ended, "gang member failed")
 	}
-	if failures.Add(ended.Run) && !s.spec.LongRunning && len(*failures) >= s.job.queue.maxAttempts() {
+	if s.spec.LongRunning {
+		// Such a task may fail any number of times, so its failures are not kept.
+		return
+	}
+	if failures.Add(ended.Run) && len(*failures) >= s.job.queue.maxAttempts() {
 		c.finishJob(s.job, tanagerwork.Failed, "a task has failed max_attempts times")
 	}
 }
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -18,6 +18,14 @@
 	// has reported to this scheduler yet.
 	inherited bool
 	steps     []*step
+	// occurrences are those that have steps, by number, and openTasks counts the tasks of
+	// those that are not done.
+	occurrences map[int]*occurrence
+	openTasks   int
+	// doneOccurrences are the occurrences of a recurring job that are done. The steps of
+	// obsoleteOccurrences are still to be removed.
+	doneOccurrences     tanagerwork.OccurrenceSet
+	obsoleteOccurrences []int
 	// nextOccurrence is the first occurrence whose steps have not been created.
 	nextOccurrence  int
 	unfinishedSteps int
@@ -37,11 +45,23 @@
 	shownSince time.Time
 }
 
+// occurrence is the state of one occurrence of its job.
+type occurrence struct {
+	steps           []*step
+	taskCount       int
+	unfinishedSteps int
+}
+
+func (o *occurrence) hasActiveAttempts() bool {
+	return slices.ContainsFunc(o.steps, func(s *step) bool { return s.activeAttempts > 0 })
+}
+
 // step is the state of one step in one occurrence of its job.
 type step struct {
-	job  *job
-	name tanagerwork.StepName
-	spec *tanagerwork.Step
+	job        *job
+	occurrence *occurrence
+	name       tanagerwork.StepName
+	spec       *tanagerwork.Step
 	// due is the earliest start of the occurrence.
 	due   time.Time
 	tasks []task
@@ -185,6 +205,9 @@
 		j.shownSince = now
 		return true
 	}
+	if progress != nil {
+		j.doneOccurrences = slices.Clone(progress.Done)
+	}
 	c.openJobs = append(c.openJobs, j)
 	j.forecast = c.hints[record.Queue].Decision(&record.Spec).Wait
 	c.createOccurrences(now, j)
@@ -214,13 +237,18 @@
 }
 
 // createOccurrences creates the steps of the occurrences that are due within
-// occurrenceLeadTime.
+// occurrenceLeadTime, as long as the job has fewer than maxOpenTasks open tasks.
 func (c *Cell) createOccurrences(now time.Time, j *job) {
-	for j.hasFutureOccurrence() && !j.nextDue().After(now.Add(occurrenceLeadTime)) {
+	for j.hasFutureOccurrence() && j.openTasks < maxOpenTasks && !j.nextDue().After(now.Add(occurrenceLeadTime)) {
 		c.createNextOccurrence(j)
 	}
 }
 
+// maxOpenTasks bounds the tasks of a job's occurrences that are not done, and with them
+// the memory and the stored progress of a recurring job that runs slower than it is due.
+// All occurrences of a job of one task may overlap.
+const maxOpenTasks = 12000
+
 // createOccurrencesThrough creates the steps of the occurrences up to one that a
 // scheduler has started, according to a worker. Its time may not have come by the
 // clock of this daemon.
@@ -251,7 +279,9 @@
 	if due.IsZero() {
 		due = j.record.Arrived
 	}
-	c.createOccurrence(j, j.nextOccurrence, due)
+	if !j.doneOccurrences.Contains(j.nextOccurrence) {
+		c.createOccurrence(j, j.nextOccurrence, due)
+	}
 	j.nextOccurrence++
 }
 
@@ -259,15 +289,17 @@
 // created.
 const occurrenceLeadTime = 500 * time.Millisecond
 
-func (c *Cell) createOccurrence(j *job, occurrence int, due time.Time) {
+func (c *Cell) createOccurrence(j *job, number int, due time.Time) {
 	first := len(j.steps)
+	o := &occurrence{unfinishedSteps: len(j.record.Spec.Steps)}
 	for i := range j.record.Spec.Steps {
 		spec := &j.record.Spec.Steps[i]
 		s := &step{
-			job: j,
+			job:        j,
+			occurrence: o,
 			name: tanagerwork.StepName{
 				Job:        j.record.ID,
-				Occurrence: occurrence,
+				Occurrence: number,
 				Step:       i,
 			},
 			spec:              spec,
@@ -284,7 +316,14 @@
 		}
 		j.steps = append(j.steps, s)
 		j.unfinishedSteps++
+		o.steps = append(o.steps, s)
+		o.taskCount += spec.TaskCount
 	}
+	if j.occurrences == nil {
+		j.occurrences = make(map[int]*occurrence)
+	}
+	j.occurrences[number] = o
+	j.openTasks += o.taskCount
 	for i := len(j.steps) - 1; i >= first; i-- {
 		s := j.steps[i]
 		for _, d := range s.dependents {
@@ -305,14 +344,45 @@
 	c.readySteps = append(c.readySteps, s)
 }
 
-// step returns a step of an occurrence, or nil if it has not been created.
+// step returns a step of an occurrence, or nil if it has not been created or has been
+// removed.
 func (j *job) step(occurrence, index int) *step {
-	for _, s := range j.steps {
-		if s.name.Occurrence == occurrence && s.name.Step == index {
-			return s
+	o := j.occurrences[occurrence]
+	if o == nil || index < 0 || index >= len(o.steps) {
+		return nil
+	}
+	return o.steps[index]
+}
+
+// finishStep records that all tasks of a step are done, which may end its occurrence.
+func (j *job) finishStep(s *step) {
+	j.unfinishedSteps--
+	s.occurrence.unfinishedSteps--
+	if s.occurrence.unfinishedSteps > 0 {
+		return
+	}
+	j.openTasks -= s.occurrence.taskCount
+	if j.record.Spec.Times > 0 {
+		j.doneOccurrences.Add(s.name.Occurrence)
+		j.obsoleteOccurrences = append(j.obsoleteOccurrences, s.name.Occurrence)
+	}
+}
+
+// removeDoneOccurrences removes the steps of the occurrences that are done and have no
+// attempts. Otherwise they would take memory, and time of each search, for as long as a
+// recurring job goes on.
+func (j *job) removeDoneOccurrences() {
+	before := len(j.occurrences)
+	j.obsoleteOccurrences = slices.DeleteFunc(j.obsoleteOccurrences, func(number int) bool {
+		if j.occurrences[number].hasActiveAttempts() {
+			return false
 		}
+		delete(j.occurrences, number)
+		return true
+	})
+	if len(j.occurrences) < before {
+		j.steps = slices.DeleteFunc(j.steps, func(s *step) bool { return j.occurrences[s.name.Occurrence] == nil })
 	}
-	return nil
 }
 
 // markTaskDone marks a task as done. After the last task of a step it enqueues
@@ -331,7 +401,7 @@
 	if s.unfinishedTasks > 0 {
 		return
 	}
-	s.job.unfinishedSteps--
+	s.job.finishStep(s)
 	s.advice = adviceState{}
 	for _, d := range s.dependents {
 		d.unmetDependencies--
@@ -430,6 +500,7 @@
 // createDueOccurrences creates the steps of occurrences that fall due.
 func (c *Cell) createDueOccurrences() {
 	for _, j := range c.jobsWithFutureOccurrences() {
+		j.removeDoneOccurrences()
 		c.createOccurrences(c.now, j)
 	}
 }
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -9,10 +9,11 @@
 
 // restore applies the stored progress of a job.
 func (c *Cell) restore(j *job, p *tanagerwork.Progress) {
+	if n := len(p.Done); n > 0 {
+		c.createStoredOccurrences(j, p.Done[n-1].Last)
+	}
 	for _, sp := range p.Steps {
-		for j.hasFutureOccurrence() && j.nextOccurrence <= sp.Occurrence {
-			c.createNextOccurrence(j)
-		}
+		c.createStoredOccurrences(j, sp.Occurrence)
 		s := j.step(sp.Occurrence, sp.Step)
 		if s == nil {
 			continue
@@ -29,6 +30,7 @@
 			}
 		}
 	}
+	c.checkCompleted(j)
 	if j.state.Final() {
 		// The stored progress lacks the final state.
 		return
@@ -36,6 +38,14 @@
 	j.storedVersion = j.progressVersion
 }
 
+// createStoredOccurrences creates the occurrences up to one of which progress is stored,
+// whether they are due by the clock of this daemon or not.
+func (c *Cell) createStoredOccurrences(j *job, last int) {
+	for j.hasFutureOccurrence() && j.nextOccurrence <= last {
+		c.createNextOccurrence(j)
+	}
+}
+
 // markDirty records that the progress of a job has changed and must be stored.
 func (c *Cell) markDirty(j *job) {
 	j.progressVersion++
@@ -143,6 +153,15 @@
 	}
 }
 
+// FailUnstorable fails a job whose progress is larger than the store accepts. Otherwise
+// its ends would never be acknowledged, and the ends of other jobs on the same workers with
+// them. The final state, which is small, is to be stored next.
+func (c *Cell) FailUnstorable(id tanagerwork.JobID) {
+	if j, known := c.jobs[id]; known {
+		c.finishJob(j, tanagerwork.Failed, "progress larger than the store accepts")
+	}
+}
+
 func (j *job) progress() tanagerwork.Progress {
 	p := tanagerwork.Progress{
 		State:   j.state,
@@ -151,7 +170,11 @@
 	if j.state.Final() {
 		return p
 	}
+	p.Done = slices.Clone(j.doneOccurrences)
 	for _, s := range j.steps {
+		if j.doneOccurrences.Contains(s.name.Occurrence) {
+			continue
+		}
 		if sp, ok := s.progress(); ok {
 			p.Steps = append(p.Steps, sp)
 		}
--- a/tanager/tanagerdispatch/reconcile.go
+++ b/tanager/tanagerdispatch/reconcile.go
@@ -86,6 +86,10 @@
 	if s := c.findStep(active.Task); s != nil {
 		return s.spec.Allocation()
 	}
+	if j := c.jobs[active.Task.Job]; j != nil && j.doneOccurrences.Contains(active.Task.Occurrence) &&
+		active.Task.Step < len(j.record.Spec.Steps) {
+		return j.record.Spec.Steps[active.Task.Step].Allocation()
+	}
 	return w.entry.Capacity
 }
 
--- a/tanager/tanagerwork/job_test.go
+++ b/tanager/tanagerwork/job_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
 )
 
 func TestCheckLimitsOccurrencesAndDurations(t *testing.T) {
@@ -60,3 +61,25 @@
 		qt.Check(t, errorx.IsOfType(err, Invalid), qt.IsTrue, qt.Commentf("%s", text))
 	}
 }
+
+// A set of occurrences holds those that were added, in ranges that are sorted and apart.
+func TestOccurrenceSet(t *testing.T) {
+	c := qt.New(t)
+	rapid.Check(t, func(t *rapid.T) {
+		added := make(map[int]bool)
+		var s OccurrenceSet
+		for _, k := range rapid.SliceOf(rapid.IntRange(0, 30)).Draw(t, "occurrences") {
+			s.Add(k)
+			added[k] = true
+		}
+		for k := range 32 {
+			c.Check(s.Contains(k), qt.Equals, added[k], qt.Commentf("%d", k))
+		}
+		for i, r := range s {
+			c.Check(r.First <= r.Last, qt.IsTrue)
+			if i > 0 {
+				c.Check(s[i-1].Last+1 < r.First, qt.IsTrue)
+			}
+		}
+	})
+}
--- a/tanager/tanagerwork/record.go
+++ b/tanager/tanagerwork/record.go
@@ -1,6 +1,7 @@
 package tanagerwork
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -99,7 +100,58 @@
 
 // Progress is the durable state of a job while it runs and after its end.
 type Progress struct {
-	State   State          `json:"state"`
-	Started bool           `json:"begun"`
-	Steps   []StepProgress `json:"steps,omitempty"`
+	State   State `json:"state"`
+	Started bool  `json:"begun"`
+	// Done are the occurrences of a recurring job that have ended as done. Steps has
+	// nothing of them.
+	Done  OccurrenceSet  `json:"done_occurrences,omitempty"`
+	Steps []StepProgress `json:"steps,omitempty"`
+}
+
+// OccurrenceSet is a set of occurrences of a job, as ranges that are sorted and neither
+// overlap nor adjoin. Occurrences end nearly in order, so a set has few ranges.
+type OccurrenceSet []OccurrenceRange
+
+// OccurrenceRange is the occurrences First to Last.
+type OccurrenceRange struct {
+	First int `json:"first"`
+	Last  int `json:"last"`
+}
+
+// find returns the position of the first range that ends at or after an occurrence.
+func (s OccurrenceSet) find(occurrence int) int {
+	i, _ := slices.BinarySearchFunc(s, occurrence, func(r OccurrenceRange, k int) int {
+		return cmp.Compare(r.Last, k)
+	})
+	return i
+}
+
+// Contains reports whether an occurrence is in the set.
+func (s OccurrenceSet) Contains(occurrence int) bool {
+	i := s.find(occurrence)
+	return i < len(s) && s[i].First <= occurrence
+}
+
+// Add adds an occurrence to the set.
+func (s *OccurrenceSet) Add(occurrence int) {
+	if s.Contains(occurrence) {
+		return
+	}
+	i := s.find(occurrence)
+	joinsPrevious := i > 0 && (*s)[i-1].Last == occurrence-1
+	joinsNext := i < len(*s) && (*s)[i].First == occurrence+1
+	switch {
+	case joinsPrevious && joinsNext:
+		(*s)[i-1].Last = (*s)[i].Last
+		*s = slices.Delete(*s, i, i+1)
+	case joinsPrevious:
+		(*s)[i-1].Last = occurrence
+	case joinsNext:
+		(*s)[i].First = occurrence
+	default:
+		*s = slices.Insert(*s, i, OccurrenceRange{
+			First: occurrence,
+			Last:  occurrence,
+		})
+	}
 }
--- a/tanagercheck/machine.go
+++ b/tanagercheck/machine.go
@@ -22,6 +22,8 @@
 	peerPort     = 7000
 	peerToken    = "token"
 	remoteFactor = 1.5
+
+	maxValueBytes = 1 << 20
 )
 
 // machine runs a daemon, one process at a time.
@@ -85,6 +87,7 @@
 			Retention:    retention,
 			RemoteFactor: remoteFactor,
 		},
+		MaxValueBytes: maxValueBytes,
 	}, tanagercell.Ports{
 		Store:   storePort{process: p},
 		Workers: workerPort{process: p},
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -161,6 +161,7 @@
 			Retention:    s.Work.Retention(),
 			RemoteFactor: s.Work.RemoteFactor,
 		},
+		MaxValueBytes: s.Limits.MaxValueBytes,
 	}, ports, tanagertimer.NewReal(), meter, log), nil
 }
 
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -79,6 +79,9 @@
 }
 func (stubDecoder) WaveStatus(int, bool) (string, []byte) { return "", nil }
 
+// testMaxValueBytes is the largest value that the store of a test accepts.
+const testMaxValueBytes = 1 << 20
+
 // newTestControl returns a control with an unresponsive store. Its goroutines
 // end with the test.
 func newTestControl(t *testing.T) *control { return newTestMember(t, self, unresponsiveStore{}) }
@@ -88,7 +91,10 @@
 	t.Cleanup(cancel)
 	timer := tanagertimer.NewManual(time.Unix(1_700_000_000, 0))
 	c := &control{
-		settings: Settings{LeaderTTL: 2 * time.Second},
+		settings: Settings{
+			LeaderTTL:     2 * time.Second,
+			MaxValueBytes: testMaxValueBytes,
+		},
 		ports: Ports{
 			Store:   store,
 			Decoder: stubDecoder{},
--- a/tanagerd/tanagercell/persist.go
+++ b/tanagerd/tanagercell/persist.go
@@ -65,13 +65,12 @@
 		return
 	}
 	for w.progressInFlight < maxProgressInFlight {
-		snapshots := c.cell.TakeSnapshots(maxKeysPerTransaction)
+		snapshots, t := c.progressTransaction(c.cell.TakeSnapshots(maxKeysPerTransaction))
 		if len(snapshots) == 0 {
 			return
 		}
 		w.lastProgressWrite = now
 		w.progressInFlight++
-		t := c.progressTransaction(snapshots)
 		term := c.term
 		go func() {
 			revision, items, err := c.ports.Store.Commit(c.ctx, t)
@@ -89,9 +88,23 @@
 	}
 }
 
-func (c *control) progressTransaction(snapshots []tanagerdispatch.Snapshot) tanagerport.Transaction {
+// progressTransaction returns the transaction that stores snapshots, and those that it
+// contains. A snapshot that the store would refuse for its size fails its job; in the
+// transaction it would fail the writes of the others each time.
+func (c *control) progressTransaction(
+	taken []tanagerdispatch.Snapshot) ([]tanagerdispatch.Snapshot, tanagerport.Transaction) {
 	t := tanagerport.Transaction{Preconditions: []tanagerport.Precondition{c.epochPrecondition()}}
-	for _, s := range snapshots {
+	var snapshots []tanagerdispatch.Snapshot
+	for _, s := range taken {
+		value := tanagerwire.Encode(s.Progress)
+		if len(value) > c.settings.MaxValueBytes {
+			c.log.Error().Str("event", "progress_too_large").Str("job", string(s.Job)).
+				Int("bytes", len(value)).Int("limit_bytes", c.settings.MaxValueBytes).Send()
+			c.cell.FailUnstorable(s.Job)
+			c.cell.SnapshotWritten(s.Job, s.Version, false)
+			continue
+		}
+		snapshots = append(snapshots, s)
 		key := outcomePrefix + string(s.Job)
 		t.Preconditions = append(t.Preconditions, tanagerport.Precondition{
 			Key:      key,
@@ -99,10 +112,10 @@
 		})
 		t.Writes = append(t.Writes, tanagerport.Write{
 			Key:   key,
-			Value: tanagerwire.Encode(s.Progress),
+			Value: value,
 		})
 	}
-	return t
+	return snapshots, t
 }
 
 func (c *control) epochPrecondition() tanagerport.Precondition {
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -21,7 +21,9 @@
 	Weight float64
 	// LeaderTTL is the TTL of the scheduler's lease.
 	LeaderTTL time.Duration
-	Dispatch  tanagerdispatch.Settings
+	// MaxValueBytes is the largest value that the store accepts.
+	MaxValueBytes int
+	Dispatch      tanagerdispatch.Settings
 }
 
 const (
--- a/tanagerd/tanagersettings/member.go
+++ b/tanagerd/tanagersettings/member.go
@@ -52,6 +52,8 @@
 	MaxFiles int `yaml:"max_files"`
 	// StopSeconds is the time from the signal to stop until the daemon is killed.
 	StopSeconds float64 `yaml:"stop_seconds"`
+	// MaxValueBytes is the largest value that the store accepts. The default is 1 MiB.
+	MaxValueBytes int `yaml:"max_value_bytes"`
 }
 
 // MemberWork holds the parameters of running tasks.
@@ -84,6 +86,9 @@
 // Retention returns the time for which the state of an ended job is kept.
 func (w MemberWork) Retention() time.Duration { return durationFromMS(w.RetentionS * 1000) }
 
+// defaultMaxValueBytes is the default of MemberLimits.MaxValueBytes.
+const defaultMaxValueBytes = 1 << 20
+
 // defaultGangWaitMS is the default of MemberWork.GangWaitMS.
 const defaultGangWaitMS = 3000
 
@@ -103,6 +108,9 @@
 // type of its error is Malformed or OutOfRange.
 func ParseMember(content []byte) (MemberSettings, error) {
 	m := MemberSettings{
+		Limits: MemberLimits{
+			MaxValueBytes: defaultMaxValueBytes,
+		},
 		Work: MemberWork{
 			GangWaitMS:   defaultGangWaitMS,
 			RemoteFactor: 1,
@@ -137,15 +145,16 @@
 		}
 	}
 	mustBePositive := map[string]float64{
-		"limits.cpu_share":      m.Limits.CPUCores,
-		"limits.memory_mb":      float64(m.Limits.MemoryMB),
-		"limits.max_files":      float64(m.Limits.MaxFiles),
-		"limits.stop_seconds":   m.Limits.StopSeconds,
-		"work.longest_lease_ms": m.Work.MaxLeaseMS,
-		"work.stop_grace_ms":    m.Work.StopGraceMS,
-		"work.gang_wait_ms":     m.Work.GangWaitMS,
-		"work.retention_s":      m.Work.RetentionS,
-		"work.remote_factor":    m.Work.RemoteFactor,
+		"limits.cpu_share":       m.Limits.CPUCores,
+		"limits.memory_mb":       float64(m.Limits.MemoryMB),
+		"limits.max_files":       float64(m.Limits.MaxFiles),
+		"limits.stop_seconds":    m.Limits.StopSeconds,
+		"limits.max_value_bytes": float64(m.Limits.MaxValueBytes),
+		"work.longest_lease_ms":  m.Work.MaxLeaseMS,
+		"work.stop_grace_ms":     m.Work.StopGraceMS,
+		"work.gang_wait_ms":      m.Work.GangWaitMS,
+		"work.retention_s":       m.Work.RetentionS,
+		"work.remote_factor":     m.Work.RemoteFactor,
 	}
 	for key, value := range mustBePositive {
 		if value <= 0 {
