--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -148,7 +148,9 @@
 	// incarnation is that of the worker when the attempt was created.
 	incarnation int64
 	phase       phase
-	startsSent  int
+	// startsSent counts the starts that were sent, startsUnanswered those that got no
+	// response and may have started the run.
+	startsSent, startsUnanswered int
 	// startSentAt is when the start was first sent or the run was adopted.
 	startSentAt time.Time
 	// phaseSince is when the present phase began.
--- a/tanager/tanagerdispatch/member_test.go
+++ b/tanager/tanagerdispatch/member_test.go
@@ -107,3 +107,44 @@
 	h.c.Assert(again, qt.HasLen, 1)
 	h.c.Assert(again[0].Start.Run > start.Start.Run, qt.IsTrue)
 }
+
+// A start that was not sent, as the worker has not answered on a new connection, is sent
+// again; then its task is placed again without waiting for the lease.
+func TestStartThatReachedNoWorkerIsRepeated(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	notReached := tanagerport.NotReached.New("no answer")
+	first := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.cell.HandleStartResponse(h.now, first, tanagerport.Response{}, notReached)
+	again := h.tick(20 * time.Millisecond)
+	h.c.Assert(again.Starts, qt.HasLen, 1)
+	h.c.Assert(again.Starts[0].Start.Run, qt.Equals, first.Start.Run)
+	h.setWorkers(testWorker("a", 1), testWorker("b", 1))
+	h.respondToPolls(tanagerport.Report{})
+	h.cell.HandleStartResponse(h.now, again.Starts[0], tanagerport.Response{}, notReached)
+	var starts []StartOrder
+	for range 10 {
+		out := h.tick(20 * time.Millisecond)
+		h.respondToPolls(tanagerport.Report{})
+		h.c.Assert(out.Stops, qt.HasLen, 0)
+		starts = append(starts, out.Starts...)
+	}
+	h.c.Assert(starts, qt.HasLen, 1)
+	h.c.Assert(starts[0].Worker.ID, qt.Equals, "b")
+}
+
+// A run whose first start got no response may have started, whatever became of the second.
+func TestStartThatReachedNoWorkerAfterOneWithoutResponseIsStopped(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	first := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.cell.HandleStartResponse(h.now, first, tanagerport.Response{}, noResponse)
+	again := h.tick(20 * time.Millisecond).Starts
+	h.c.Assert(again, qt.HasLen, 1)
+	h.cell.HandleStartResponse(h.now, again[0], tanagerport.Response{}, tanagerport.NotReached.New("no answer"))
+	out := h.tick(20 * time.Millisecond)
+	h.c.Assert(out.Stops, qt.HasLen, 1)
+	h.c.Assert(out.Starts, qt.HasLen, 0)
+}
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -111,6 +111,9 @@
 		c.startRefused(a, order, response.Status)
 	case errorx.IsOfType(err, tanagerport.NotSent):
 		c.startNotSent(a)
+	case errorx.IsOfType(err, tanagerport.NotReached):
+		w.recordSilent(now)
+		c.startNotReached(a, err)
 	case errorx.IsOfType(err, tanagerport.Refused):
 		w.recordSilent(now)
 		c.startUnsent(a, err)
@@ -161,8 +164,7 @@
 		c.startMisdirected(a, order)
 		return
 	}
-	if a.startsSent > 1 {
-		// An earlier start got no response and may have started the task.
+	if a.startsUnanswered > 0 {
 		c.stopAttempt(a, "start refused, an earlier one got no response")
 		return
 	}
@@ -174,7 +176,7 @@
 // its runs have ended. The refused start is not among them.
 func (c *Cell) startMisdirected(a *attempt, order StartOrder) {
 	w := a.worker
-	if a.startsSent == 1 {
+	if a.startsUnanswered == 0 {
 		c.discardUnstarted(a, string(tanagerport.OtherIncarnation))
 	}
 	if order.Worker.Incarnation == w.incarnation {
@@ -182,16 +184,27 @@
 		w.synced = false
 		return
 	}
-	if a.startsSent > 1 {
+	if a.startsUnanswered > 0 {
 		c.stopAttempt(a, "start misdirected, an earlier one got no response")
 	}
 }
 
+// startNotReached handles a start that was not sent, as the worker has not answered on a
+// new connection. It sends the start again, as after no response.
+func (c *Cell) startNotReached(a *attempt, err error) {
+	if a.phase != starting || !c.mayRepeatStart(a) {
+		c.startUnsent(a, err)
+		return
+	}
+	c.logAttempt("start_unsent", a, errorKind(err))
+	c.sendStart(a)
+}
+
 // startUnsent handles a start of which no byte was sent.
 func (c *Cell) startUnsent(a *attempt, err error) {
 	a.worker.health.avoidUntil = c.now.Add(unreachableBackoff)
 	c.logAttempt("start_unsent", a, errorKind(err))
-	if a.startsSent > 1 {
+	if a.startsUnanswered > 0 {
 		c.stopAttempt(a, "worker unreachable, an earlier start got no response")
 		return
 	}
@@ -202,17 +215,18 @@
 // says nothing of the worker.
 func (c *Cell) startNotSent(a *attempt) {
 	c.logAttempt("start_not_sent", a, "scheduler paused")
-	if a.startsSent > 1 {
+	if a.startsUnanswered > 0 {
 		c.stopAttempt(a, "scheduler paused, an earlier start got no response")
 		return
 	}
 	c.discardUnstarted(a, "scheduler paused")
 }
 
-// mayStartAgain reports whether the start of an attempt may be repeated. A worker
+// mayRepeatStart reports whether the start of an attempt may be sent again. A worker
 // that has restarted may have crashed because of the start.
-func (a *attempt) mayStartAgain() bool {
-	return a.incarnation == a.worker.incarnation && !a.worker.entry.Draining && !a.worker.overcommitted()
+func (c *Cell) mayRepeatStart(a *attempt) bool {
+	return a.startsSent < maxStartSends && c.hasAuthority() && a.incarnation == a.worker.incarnation &&
+		!a.worker.entry.Draining && !a.worker.overcommitted()
 }
 
 // startOutcomeUnknown sends the start again, which is idempotent as it names the
@@ -223,7 +237,8 @@
 		return
 	}
 	c.logAttempt("start_unanswered", a, "")
-	if a.startsSent < maxStartSends && c.hasAuthority() && a.mayStartAgain() {
+	a.startsUnanswered++
+	if c.mayRepeatStart(a) {
 		c.sendStart(a)
 		return
 	}
--- a/tanager/tanagerport/doc.go
+++ b/tanager/tanagerport/doc.go
@@ -8,6 +8,8 @@
 // effect and therefore what may be done next:
 //
 //   - Refused: the call had no effect and may succeed later.
+//   - NotReached: no connection to the addressed worker was made in time. The call had no
+//     effect and may succeed at once.
 //   - NotSent: the caller itself has not made the call, which says nothing of the
 //     other side.
 //   - OutcomeUnknown: the call may have been executed or may still be.
--- a/tanager/tanagerport/errors.go
+++ b/tanager/tanagerport/errors.go
@@ -9,6 +9,7 @@
 var (
 	Refused        = Errors.NewType("refused", errorx.Temporary())
 	NotSent        = Errors.NewType("not_sent", errorx.Temporary())
+	NotReached     = Errors.NewType("not_reached", errorx.Temporary())
 	OutcomeUnknown = Errors.NewType("unanswered", errorx.Timeout())
 	Conflict       = Errors.NewType("conflict")
 	NotFound       = Errors.NewType("not_found", errorx.NotFound())
