--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -19,6 +19,9 @@
 const (
 	// maxPayloadBytes is the longest payload that the public interface allows.
 	maxPayloadBytes = 4000
+	// maxNameBytes is the longest label, rack or image of a step. With maxSteps it keeps
+	// the record of a job below the largest value that the store accepts.
+	maxNameBytes = 4000
 	// maxSteps, maxTasks and maxOccurrences bound the memory that one job takes,
 	// minInterval the rate at which its occurrences come.
 	maxSteps       = 64
@@ -218,6 +221,9 @@
 	}
 	tasks := 0
 	for i := range s.Steps {
+		if err := s.Steps[i].checkSize(i); err != nil {
+			return err
+		}
 		tasks += s.Steps[i].TaskCount
 	}
 	if tasks > maxTasks {
@@ -226,6 +232,17 @@
 	return nil
 }
 
+// checkSize returns an error of type Invalid if the step's record would be too large.
+func (s *Step) checkSize(index int) error {
+	if n := max(len(s.Label), len(s.DataRack), len(s.Image)); n > maxNameBytes {
+		return Invalid.New("step %d has a name of %d bytes, at most %d are allowed", index, n, maxNameBytes)
+	}
+	if len(s.After) > maxSteps {
+		return Invalid.New("step %d depends on %d steps, at most %d are allowed", index, len(s.After), maxSteps)
+	}
+	return nil
+}
+
 func (s *Step) check(index int) error {
 	if s.TaskCount < 1 {
 		return Invalid.New("step %d has %d tasks, at least 1 is required", index, s.TaskCount)
--- a/tanager/tanagerwork/job_test.go
+++ b/tanager/tanagerwork/job_test.go
@@ -1,12 +1,16 @@
 package tanagerwork
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/joomcode/errorx"
 	"pgregory.net/rapid"
+
+	"tanagersail.example/tanager/tanagerwire"
 )
 
 func TestCheckLimitsOccurrencesAndDurations(t *testing.T) {
@@ -62,6 +66,42 @@
 	}
 }
 
+// Guards against a job whose record the store refuses for its size, with those of the other
+// jobs in its transaction.
+func TestRecordOfValidJobFitsTheStore(t *testing.T) {
+	const storeValueLimit = 1 << 20
+	largest := func(nameBytes, dependencies int) *Spec {
+		s := &Spec{Payload: strings.Repeat("x", maxPayloadBytes)}
+		for i := range maxSteps {
+			name := strings.Repeat("x", nameBytes)
+			step := Step{
+				TaskCount: 1,
+				Resources: Resources{
+					MilliCPU: math.MaxInt64,
+					MemoryMB: math.MaxInt64,
+					GPUs:     math.MaxInt64,
+				},
+				Estimate: maxDuration,
+				Label:    name,
+				DataRack: name,
+				Image:    name,
+			}
+			for k := range dependencies * min(i, 1) {
+				step.After = append(step.After, k%i)
+			}
+			s.Steps = append(s.Steps, step)
+		}
+		return s
+	}
+	c := qt.New(t)
+	valid := largest(maxNameBytes, maxSteps)
+	c.Assert(valid.Check(), qt.IsNil)
+	bytes := len(tanagerwire.Encode(Record{Spec: *valid}))
+	c.Assert(bytes < storeValueLimit, qt.IsTrue, qt.Commentf("%d bytes", bytes))
+	c.Assert(errorx.IsOfType(largest(maxNameBytes+1, 0).Check(), Invalid), qt.IsTrue)
+	c.Assert(errorx.IsOfType(largest(0, maxSteps+1).Check(), Invalid), qt.IsTrue)
+}
+
 // A set of occurrences holds those that were added, in ranges that are sorted and apart.
 func TestOccurrenceSet(t *testing.T) {
 	c := qt.New(t)
