--- a/tanagercheck/plan.go
+++ b/tanagercheck/plan.go
@@ -136,6 +136,8 @@
 	// MaxEntryDelay is the longest time until a worker that has restarted writes its
 	// entry.
 	MaxEntryDelay time.Duration
+	// QuickRestarts bring workers back before a scheduler notices that they were away.
+	QuickRestarts bool
 	jobs          []plannedJob
 }
 
@@ -173,6 +175,7 @@
 	if options.IntN(3) == 0 {
 		p.makeGangs(options)
 	}
+	p.QuickRestarts = options.IntN(2) == 0
 	return p
 }
 
--- a/tanagercheck/walk.go
+++ b/tanagercheck/walk.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// minAway is the least time that a worker takes to restart.
-	minAway = time.Second
+	// minAway is the least time that a worker takes to restart, and minQuickAway that in
+	// walks with quick restarts.
+	minAway      = time.Second
+	minQuickAway = 300 * time.Millisecond
 	// endCheckInterval is the interval at which a healed walk looks whether all jobs
 	// have ended.
 	endCheckInterval = 500 * time.Millisecond
@@ -88,6 +90,14 @@
 	}
 }
 
+// away returns how long a worker takes to restart.
+func (p *Plan) away(f *Fault) time.Duration {
+	if p.QuickRestarts {
+		return max(f.Length/10, minQuickAway)
+	}
+	return max(f.Length/2, minAway)
+}
+
 // runFault carries out what a fault does beside the calls.
 func (w *world) runFault(index int) {
 	f := &w.plan.Faults[index]
@@ -101,7 +111,7 @@
 	w.mu.Unlock()
 	switch f.Kind {
 	case RestartWorker:
-		w.workers[f.Worker].restart(max(f.Length/2, minAway), f.Flag)
+		w.workers[f.Worker].restart(w.plan.away(f), f.Flag)
 	case HideWorker:
 		w.hide(f)
 	case KillDaemon:
--- a/tanagercheck/walk_test.go
+++ b/tanagercheck/walk_test.go
@@ -89,16 +89,23 @@
 	// An incarnation with a lower number was taken for the former one, and its ends for
 	// those that had been applied.
 	10028,
+	// A worker that had restarted unnoticed read the deadline of a start on its new clock
+	// and held a longer lease than the next scheduler waited for.
+	20023,
 }
 
 func TestSavedWalks(t *testing.T) {
 	for _, seed := range savedSeeds {
-		t.Run(fmt.Sprintf("seed_%d", seed), func(t *testing.T) {
-			if r := walk(t, NewPlan(seed), false); len(r.Violations) > 0 {
-				r = shrink(t, r)
-				t.Error(table(&r))
-			}
-		})
+		for _, quick := range []bool{false, true} {
+			t.Run(fmt.Sprintf("seed_%d_quick_%v", seed, quick), func(t *testing.T) {
+				p := NewPlan(seed)
+				p.QuickRestarts = quick
+				if r := walk(t, p, false); len(r.Violations) > 0 {
+					r = shrink(t, r)
+					t.Error(table(&r))
+				}
+			})
+		}
 	}
 }
 
--- a/tanagercheck/worker.go
+++ b/tanagercheck/worker.go
@@ -329,7 +329,9 @@
 type order struct {
 	kind string
 	to   *worker
-	wait time.Duration
+	// incarnation is the one that the order is for, 0 for any. Others do not receive it.
+	incarnation int64
+	wait        time.Duration
 	// sameLife is set for orders that are lost if the worker has restarted since they
 	// were sent and they are late.
 	sameLife bool
@@ -411,6 +413,10 @@
 			w.mu.Unlock()
 			return tanagerport.Report{}, false
 		}
+		if o.incarnation != 0 && l.incarnation != o.incarnation {
+			w.mu.Unlock()
+			return tanagerport.Report{Response: tanagerport.Response{Status: tanagerport.OtherIncarnation}}, !late
+		}
 		reached = l
 		o.to.expire()
 		report, changed := o.execute(late, expired)
@@ -452,9 +458,10 @@
 	}
 	sentAt := m.world.now()
 	report, err := p.call(ctx, order{
-		kind:     "start",
-		to:       k,
-		sameLife: true,
+		kind:        "start",
+		to:          k,
+		incarnation: to.Incarnation,
+		sameLife:    true,
 		execute: func(late, _ bool) (tanagerport.Report, <-chan struct{}) {
 			status := k.start(startOrder{
 				Start:  s,
@@ -527,9 +534,10 @@
 	k := p.worker(to)
 	grace := time.Duration(m.world.random("grace " + to.ID).Int64N(int64(stopGrace)))
 	report, err := p.call(ctx, order{
-		kind:     "stop",
-		to:       k,
-		sameLife: true,
+		kind:        "stop",
+		to:          k,
+		incarnation: to.Incarnation,
+		sameLife:    true,
 		execute: func(_, _ bool) (tanagerport.Report, <-chan struct{}) {
 			status := k.stop(s, grace)
 			k.world.log(m.name, k.id, string(s.Task.Job), "stop %s run %d epoch %d: %s", s.Task, s.Run, s.Epoch, status)
@@ -559,17 +567,29 @@
 	return tanagerport.Response{Status: tanagerport.Accepted}, nil
 }
 
-// Poll implements tanagercell.Workers.
+// Poll implements tanagercell.Workers. If another incarnation than the addressed one is
+// there, it is polled without a deadline and an acknowledgement.
 func (p workerPort) Poll(ctx context.Context, to tanagerport.WorkerRef,
+	poll tanagerport.Poll) (tanagerport.Report, error) {
+	report, err := p.poll(ctx, to, poll)
+	if err == nil && report.Status == tanagerport.OtherIncarnation {
+		to.Incarnation = 0
+		return p.poll(ctx, to, tanagerport.Poll{Epoch: poll.Epoch})
+	}
+	return report, err
+}
+
+func (p workerPort) poll(ctx context.Context, to tanagerport.WorkerRef,
 	poll tanagerport.Poll) (tanagerport.Report, error) {
 	m := p.process.machine
 	k := p.worker(to)
 	begun := false
 	return p.call(ctx, order{
-		kind:     "poll",
-		to:       k,
-		sameLife: true,
-		wait:     poll.Wait,
+		kind:        "poll",
+		to:          k,
+		incarnation: to.Incarnation,
+		sameLife:    true,
+		wait:        poll.Wait,
 		execute: func(_, expired bool) (tanagerport.Report, <-chan struct{}) {
 			l := k.life
 			if !begun {
