--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -138,15 +138,21 @@
 	confirmed, unconfirmed tanagerwork.FailedRuns
 }
 
-// add adds a run and reports whether it was not yet known.
+// add adds a run and reports whether it was not yet known. Only the last runs are kept: a
+// long-running task is not given up for any number of unconfirmed crashes.
 func (h *crashHistory) add(run int64, s suspicion) bool {
 	if slices.Contains(h.confirmed, run) || slices.Contains(h.unconfirmed, run) {
 		return false
 	}
+	runs := &h.confirmed
 	if s == suspectedUnconfirmed {
-		return h.unconfirmed.Add(run)
+		runs = &h.unconfirmed
 	}
-	return h.confirmed.Add(run)
+	runs.Add(run)
+	if len(*runs) > maxUnconfirmedCrashes {
+		*runs = slices.Delete(*runs, 0, 1)
+	}
+	return true
 }
 
 // count returns the number of crashes, confirmed or not.
--- a/tanager/tanagerdispatch/recurring_test.go
+++ b/tanager/tanagerdispatch/recurring_test.go
@@ -196,6 +196,29 @@
 	h.c.Assert(j.nextOccurrence > next, qt.IsTrue)
 }
 
+// Guards against the stored crashes of a long-running task that is not given up, as they
+// are not confirmed.
+func TestCrashesOfLongRunningTaskAreBounded(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	step := testStep(1, 1000)
+	step.LongRunning = true
+	record := testRecord("01", step)
+	h.submit(record)
+	j := h.cell.jobs[record.ID]
+	for run := range int64(1000) {
+		h.cell.recordCrash(&attempt{
+			step:      j.steps[0],
+			run:       run + 1,
+			worker:    h.cell.workers["a"],
+			suspicion: suspectedUnconfirmed,
+		})
+	}
+	h.c.Assert(j.state.Final(), qt.IsFalse)
+	h.c.Assert(len(j.progress().Steps[0].UnconfirmedCrashes[0]) <= maxUnconfirmedCrashes, qt.IsTrue)
+}
+
 // Guards against the stored failures of a long-running task, which has no limit of them.
 func TestFailuresOfLongRunningTaskAreNotStored(t *testing.T) {
 	h := newHarness(t, 1)
