--- a/tanager/tanagerdispatch/member_test.go
+++ b/tanager/tanagerdispatch/member_test.go
@@ -134,6 +134,24 @@
 	h.c.Assert(starts[0].Worker.ID, qt.Equals, "b")
 }
 
+// Guards against a run that is stopped because a repeated start reached nobody, although
+// the first one has started it.
+func TestRunGoesOnIfItsRepeatedStartReachedNoWorker(t *testing.T) {
+	h := newHarness(t, 1)
+	h.setWorkers(testWorker("a", 1))
+	h.sync()
+	first := h.submit(testRecord("01", testStep(1, 1000)))[0]
+	h.cell.HandleStartResponse(h.now, first, tanagerport.Response{}, noResponse)
+	again := h.tick(50 * time.Millisecond).Starts
+	h.c.Assert(again, qt.HasLen, 1)
+	h.respondToPolls(tanagerport.Report{Running: []tanagerport.ActiveRun{{
+		Task: first.Start.Task,
+		Run:  first.Start.Run,
+	}}})
+	h.cell.HandleStartResponse(h.now, again[0], tanagerport.Response{}, tanagerport.NotReached.New("no answer"))
+	h.c.Assert(h.tick(20*time.Millisecond).Stops, qt.HasLen, 0)
+}
+
 // A run whose first start got no response may have started, whatever became of the second.
 func TestStartThatReachedNoWorkerAfterOneWithoutResponseIsStopped(t *testing.T) {
 	h := newHarness(t, 1)
--- a/tanager/tanagerdispatch/run.go
+++ b/tanager/tanagerdispatch/run.go
@@ -190,14 +190,17 @@
 }
 
 // startNotReached handles a start that was not sent, as the worker has not answered on a
-// new connection. It sends the start again, as after no response.
+// new connection. It sends the start again, as after no response, unless an earlier one
+// is known to have started the run.
 func (c *Cell) startNotReached(a *attempt, err error) {
-	if a.phase != starting || !c.mayRepeatStart(a) {
+	switch {
+	case a.phase == running:
+	case a.phase == starting && c.mayRepeatStart(a):
+		c.logAttempt("start_unsent", a, errorKind(err))
+		c.sendStart(a)
+	default:
 		c.startUnsent(a, err)
-		return
 	}
-	c.logAttempt("start_unsent", a, errorKind(err))
-	c.sendStart(a)
 }
 
 // startUnsent handles a start of which no byte was sent.
