--- a/tanagerd/main.go
+++ b/tanagerd/main.go
@@ -6,7 +6,7 @@
 //
 //	tanagerd run --settings tanagerd.yaml
 //	tanagerd check-settings tanagerd.yaml
-//	tanagerd cell --settings member.yaml [--gang-wait 3s]
+//	tanagerd cell --settings member.yaml [--gang-wait 3s] [--max-value-bytes 1048576]
 //	tanagerd check-cell-settings member.yaml
 //
 // On SIGTERM or SIGINT the daemon shuts down gracefully: it reports that it is
@@ -32,6 +32,8 @@
 	cellPath := cell.Flag("settings", "Settings file of the member.").Required().ExistingFile()
 	gangWait := cell.Flag("gang-wait", "How long a worker lets a task of a gang wait for the others. "+
 		"Overrides work.gang_wait_ms of the settings.").Duration()
+	maxValueBytes := cell.Flag("max-value-bytes", "The largest value that the store accepts, in bytes. "+
+		"Overrides limits.max_value_bytes of the settings.").Int()
 	checkCell := app.Command("check-cell-settings", "Check a member's settings file and report its errors.")
 	checkCellPath := checkCell.Arg("file", "Settings file.").Required().String()
 	check := app.Command("check-settings", "Check a settings file and report its errors.")
@@ -42,7 +44,10 @@
 		exitOnError(err)
 		exitOnError(serve(settings))
 	case cell.FullCommand():
-		exitOnError(tanagerboot.Serve(*cellPath, *gangWait))
+		exitOnError(tanagerboot.Serve(*cellPath, tanagerboot.Overrides{
+			GangWait:      *gangWait,
+			MaxValueBytes: *maxValueBytes,
+		}))
 	case checkCell.FullCommand():
 		_, err := tanagersettings.LoadMember(*checkCellPath)
 		exitOnError(err)
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	if err := tanagerboot.Serve("member.yaml", 0); err != nil {
+//	if err := tanagerboot.Serve("member.yaml", tanagerboot.Overrides{}); err != nil {
 //		// the process could not start, or a listener failed
 //	}
 package tanagerboot
@@ -73,22 +73,38 @@
 	shutdownTimeout = 1500 * time.Millisecond
 )
 
+// Overrides replace settings of the file. Fields that are 0 replace nothing.
+type Overrides struct {
+	// GangWait is how long a worker lets a task of a gang wait for the others.
+	GangWait time.Duration
+	// MaxValueBytes is the largest value that the store accepts.
+	MaxValueBytes int
+}
+
+func (o Overrides) apply(s *tanagersettings.MemberSettings) error {
+	if o.GangWait < 0 || o.MaxValueBytes < 0 {
+		return tanagersettings.OutOfRange.New("the gang wait, %v, and the largest value, %d bytes, must not be negative",
+			o.GangWait, o.MaxValueBytes)
+	}
+	if o.GangWait > 0 {
+		s.Work.GangWaitMS = o.GangWait.Seconds() * 1000
+	}
+	if o.MaxValueBytes > 0 {
+		s.Limits.MaxValueBytes = o.MaxValueBytes
+	}
+	return nil
+}
+
 // Serve runs a member of a cell with the settings in the file at path until
 // SIGTERM or SIGINT. It returns an error if the process cannot start or a
 // listener fails.
-//
-// A gangWait other than 0 overrides the setting of how long a worker lets a task of
-// a gang wait for the others.
-func Serve(path string, gangWait time.Duration) error {
+func Serve(path string, o Overrides) error {
 	settings, err := tanagersettings.LoadMember(path)
 	if err != nil {
 		return err
 	}
-	if gangWait < 0 {
-		return tanagersettings.OutOfRange.New("the gang wait must not be negative, it is %v", gangWait)
-	}
-	if gangWait > 0 {
-		settings.Work.GangWaitMS = gangWait.Seconds() * 1000
+	if err := o.apply(&settings); err != nil {
+		return err
 	}
 	log := newLog(os.Stdout)
 	log.Info().Str("event", "start").Str("daemon", settings.Daemon.Name).Str("settings", path).Send()
