--- a/tanagerd/tanagercell/commit.go
+++ b/tanagerd/tanagercell/commit.go
@@ -101,6 +101,7 @@
 				c.commit(batch)
 			}()
 		case <-ctx.Done():
+			<-c.slots
 			return
 		}
 	}
--- a/tanagerd/tanagercell/commit_test.go
+++ b/tanagerd/tanagercell/commit_test.go
@@ -89,8 +89,16 @@
 func startCommitter(t *testing.T, s *scriptedStore, epoch uint64, revision int64) (*committer, *[]tanagerwork.Record) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
 	c := newCommitter(s)
+	ended := make(chan struct{})
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+		// All slots are free when no transaction is in flight, which could still log.
+		for range cap(c.slots) {
+			c.slots <- struct{}{}
+		}
+	})
 	var mu sync.Mutex
 	var stored []tanagerwork.Record
 	c.currentEpoch = func() (uint64, int64) {
@@ -113,7 +121,10 @@
 	}
 	c.onCommitError = func(jobs int, err error) { t.Logf("%d jobs: %v", jobs, err) }
 	c.onDecodeError = func(id tanagerwork.JobID, err error) { t.Errorf("job %s: %v", id, err) }
-	go c.run(ctx)
+	go func() {
+		defer close(ended)
+		c.run(ctx)
+	}()
 	return c, &stored
 }
 
