Check the lengths of a job's lists before decoding it

Three complete bodies of 262,144 bytes ended a daemon: its callers' connections broke, and with them all that it scheduled.

Cause: decodeJob decoded a whole body into steps and counted them afterwards. A step is one byte in the body, an empty map, and some 400 bytes as a wireStep and a Step, so that the limit of the body bounds nothing of what it takes when it is decoded.

Evidence: TestBodiesOfManySteps sends three bodies with 261,888 empty steps to one of three daemons whose memory_mb is 96.

The decoder of jobs rejects a list or map of more than 64 elements, which Spec.Check rejects as steps or dependencies anyway, in its check of the encoding, before it allocates anything. The answer is 400, as before. Resident now: 24,288 KiB, which is what the daemon has at rest. The store's and the daemons' values keep their own limit.

--- a/tanager/tanagerwire/codec.go
+++ b/tanager/tanagerwire/codec.go
@@ -16,8 +16,8 @@
 const maxElements = 1 << 20
 
 var (
-	encMode = newEncMode()
-	decMode = newDecMode()
+	encMode  = newEncMode()
+	standard = NewDecoder(maxElements)
 )
 
 // newEncMode returns the deterministic encoding: equal values have equal bytes.
@@ -32,10 +32,10 @@
 	return mode
 }
 
-func newDecMode() cbor.DecMode {
+func newDecMode(elements int) cbor.DecMode {
 	mode, err := cbor.DecOptions{
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
+		MaxArrayElements: elements,
+		MaxMapPairs:      elements,
 	}.DecMode()
 	if err != nil {
 		panic(err)
@@ -56,8 +56,24 @@
 
 // Decode parses a CBOR encoding into v. It returns an error of type Malformed if
 // the payload is not valid CBOR or does not match the type of v.
-func Decode(payload []byte, v any) error {
-	if err := decMode.Unmarshal(payload, v); err != nil {
+func Decode(payload []byte, v any) error { return standard.Decode(payload, v) }
+
+// Decoder decodes untrusted input, such as the bodies of callers, whose encoding
+// can take hundreds of times its size when it is decoded. It is safe for
+// concurrent use.
+type Decoder struct {
+	mode cbor.DecMode
+}
+
+// NewDecoder returns a decoder that rejects input with an array or a map of more
+// than a number of elements, also in unknown fields. It panics if the number is not
+// from 16 to math.MaxInt32.
+func NewDecoder(elements int) *Decoder { return &Decoder{mode: newDecMode(elements)} }
+
+// Decode is like the function Decode. It checks the lengths of arrays and maps
+// before it allocates anything.
+func (d *Decoder) Decode(payload []byte, v any) error {
+	if err := d.mode.Unmarshal(payload, v); err != nil {
 		return Malformed.Wrap(err, "decode %T", v)
 	}
 	return nil
--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -19,12 +19,13 @@
 const (
 	// maxPayloadBytes is the longest payload that the public interface allows.
 	maxPayloadBytes = 4000
-	// maxNameBytes is the longest label, rack or image of a step. With maxSteps it keeps
+	// maxNameBytes is the longest label, rack or image of a step. With MaxSteps it keeps
 	// the record of a job below the largest value that the store accepts.
 	maxNameBytes = 4000
-	// maxSteps, maxTasks and maxOccurrences bound the memory that one job takes,
-	// minInterval the rate at which its occurrences come.
-	maxSteps       = 64
+	// MaxSteps bounds the steps of a job, and the steps that a step depends on. It,
+	// maxTasks and maxOccurrences bound the memory that one job takes, minInterval
+	// the rate at which its occurrences come.
+	MaxSteps       = 64
 	maxTasks       = 5000
 	maxOccurrences = 10000
 	minInterval    = 100 * time.Millisecond
@@ -207,8 +208,8 @@
 	if len(s.Payload) > maxPayloadBytes {
 		return Invalid.New("payload has %d bytes, at most %d are allowed", len(s.Payload), maxPayloadBytes)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return Invalid.New("job has %d steps, 1 to %d are allowed", len(s.Steps), maxSteps)
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return Invalid.New("job has %d steps, 1 to %d are allowed", len(s.Steps), MaxSteps)
 	}
 	if err := s.CheckStructure(); err != nil {
 		return err
@@ -237,8 +238,8 @@
 	if n := max(len(s.Label), len(s.DataRack), len(s.Image)); n > maxNameBytes {
 		return Invalid.New("step %d has a name of %d bytes, at most %d are allowed", index, n, maxNameBytes)
 	}
-	if len(s.After) > maxSteps {
-		return Invalid.New("step %d depends on %d steps, at most %d are allowed", index, len(s.After), maxSteps)
+	if len(s.After) > MaxSteps {
+		return Invalid.New("step %d depends on %d steps, at most %d are allowed", index, len(s.After), MaxSteps)
 	}
 	return nil
 }
--- a/tanager/tanagerwork/job_test.go
+++ b/tanager/tanagerwork/job_test.go
@@ -72,7 +72,7 @@
 	const storeValueLimit = 1 << 20
 	largest := func(nameBytes, dependencies int) *Spec {
 		s := &Spec{Payload: strings.Repeat("x", maxPayloadBytes)}
-		for i := range maxSteps {
+		for i := range MaxSteps {
 			name := strings.Repeat("x", nameBytes)
 			step := Step{
 				TaskCount: 1,
@@ -94,12 +94,12 @@
 		return s
 	}
 	c := qt.New(t)
-	valid := largest(maxNameBytes, maxSteps)
+	valid := largest(maxNameBytes, MaxSteps)
 	c.Assert(valid.Check(), qt.IsNil)
 	bytes := len(tanagerwire.Encode(Record{Spec: *valid}))
 	c.Assert(bytes < storeValueLimit, qt.IsTrue, qt.Commentf("%d bytes", bytes))
 	c.Assert(errorx.IsOfType(largest(maxNameBytes+1, 0).Check(), Invalid), qt.IsTrue)
-	c.Assert(errorx.IsOfType(largest(0, maxSteps+1).Check(), Invalid), qt.IsTrue)
+	c.Assert(errorx.IsOfType(largest(0, MaxSteps+1).Check(), Invalid), qt.IsTrue)
 }
 
 // A set of occurrences holds those that were added, in ranges that are sorted and apart.
--- a/tanagerfake/tanagersite/site.go
+++ b/tanagerfake/tanagersite/site.go
@@ -23,6 +23,9 @@
 	QueuePrefix = "/jobs/"
 )
 
+// defaultMaxBodyBytes is the default of Settings.MaxBodyBytes.
+const defaultMaxBodyBytes = 64 << 10
+
 // Settings configures a Site.
 type Settings struct {
 	// Workers and StoreEndpoints are the numbers of workers and store endpoints.
@@ -30,6 +33,9 @@
 	// MilliCPU is each worker's capacity at its start, in thousandths of a core.
 	MilliCPU         int64
 	MeanTaskDuration time.Duration
+	// MaxBodyBytes is the limit of request bodies in the configuration. The default
+	// is 64 KiB.
+	MaxBodyBytes int64
 	// Seed seeds the random decisions of the faults.
 	Seed uint64
 	// WorkerLinks gives each worker an address for the daemon of each store endpoint,
@@ -57,6 +63,9 @@
 
 // New starts a site on loopback ports that the operating system chooses.
 func New(s Settings) (*Site, error) {
+	if s.MaxBodyBytes == 0 {
+		s.MaxBodyBytes = defaultMaxBodyBytes
+	}
 	site := &Site{
 		settings: s,
 		store:    newStore(),
@@ -163,7 +172,7 @@
 			"health_path":        "/health",
 			"unknown_other_name": nil,
 		}},
-		"limits": map[string]any{"max_body_bytes": 65536},
+		"limits": map[string]any{"max_body_bytes": s.settings.MaxBodyBytes},
 	})
 	s.WriteKey("op/config", value)
 }
