Bound the connections of callers

Clients that connected and sent nothing took the descriptors that a daemon needs for the store, workers and other daemons; with as many as max_files it could neither schedule nor take new callers.

Cause: no listener bounded its connections, and nothing closed one of them to make room for another. One that has had a request stays for 60 s.

Evidence: TestCrowdOfIdleConnections makes 600 connections to a daemon whose max_files is 300. On it had 632 descriptors.

A gate in front of the callers' address bounds their connections to 0.4 of max_files and to the memory that they can take, 0.4 of memory_mb at 128 KiB each: 907 at 284 MB, 511 at 160 MB. When all are in use it closes the one that has gone the longest without a byte, so that a crowd that only stays cannot lock out a client that sends its request when it is connected. Bounding first come, first served, would let it. A connection whose request is received is kept until the response is written; if all are in this state, a new one is refused at once. Now 151 descriptors of 300.

Counted as tanager_clients_turned_away, logged at most once a second.

--- a/soak/tanagersoak/crowd_test.go
+++ b/soak/tanagersoak/crowd_test.go
@@ -316,6 +316,10 @@
 // take their size in several places until they are stored.
 // Guards against connections without a request that take the descriptors which the
 // daemon needs for the store, workers and other daemons.
+func TestCrowdOfIdleConnections(t *testing.T) {
+	newCrowdTest(t, 300).face(crowdSize, crowdAttempts, func(io.ReadWriter) error { return nil }, true)
+}
+
 // Guards against requests that are sent on and on by clients that read no
 // response.
 // Guards against limits that a legal request meets in calm: a body of exactly the
--- /dev/null
+++ b/tanager/tanageringress/gate.go
@@ -0,0 +1,131 @@
+package tanageringress
+
+import (
+	"container/list"
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+
+	"github.com/joomcode/errorx"
+)
+
+// Errors is the namespace of this package's errors.
+var Errors = errorx.NewNamespace("tanageringress")
+
+// ListenFailed means that the gate cannot listen on an address.
+var ListenFailed = Errors.NewType("listen_failed")
+
+// unfinishedFactor bounds the connections that a server has not finished with, as
+// a multiple of Limits.Connections. A server keeps a goroutine for half a second
+// after it has answered a request that it did not read to the end.
+const unfinishedFactor = 2
+
+// Usage is a snapshot of what clients use, and the number of those that were turned
+// away.
+type Usage struct {
+	// Connections is the number of open connections.
+	Connections int
+	// Displaced is the number of connections that were closed for another since the
+	// start, and Refused the number that were closed as soon as they were made.
+	Displaced, Refused uint64
+}
+
+// Gate bounds the connections of a process. It is safe for concurrent use.
+type Gate struct {
+	limits Limits
+
+	mu sync.Mutex
+	// waiting holds the connections that wait for their client, the one without a
+	// byte for the longest time first.
+	waiting *list.List
+	// unfinished is the number of connections that the server has not closed.
+	unfinished int
+	usage      Usage
+}
+
+// New returns a gate.
+func New(l Limits) *Gate {
+	return &Gate{
+		limits:  l,
+		waiting: list.New(),
+	}
+}
+
+// Usage returns a snapshot.
+func (g *Gate) Usage() Usage {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.usage
+}
+
+// Listen listens on an address. The type of its error is ListenFailed.
+func (g *Gate) Listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, ListenFailed.Wrap(err, "address %s", address)
+	}
+	return &listener{
+		Listener: l,
+		gate:     g,
+	}, nil
+}
+
+// Configure prepares a server for the gate's listeners.
+func (g *Gate) Configure(s *http.Server) {
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, c)
+	}
+}
+
+type listener struct {
+	net.Listener
+	gate *Gate
+}
+
+// Accept implements net.Listener. It closes connections that the gate refuses.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.gate.admit(raw); c != nil {
+			return c, nil
+		}
+		_ = raw.Close()
+	}
+}
+
+// admit registers a connection. It returns nil if there is no room for it.
+func (g *Gate) admit(raw net.Conn) *connection {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.usage.Connections >= g.limits.Connections {
+		g.displaceOldest()
+	}
+	if g.usage.Connections >= g.limits.Connections || g.unfinished >= unfinishedFactor*g.limits.Connections {
+		g.usage.Refused++
+		return nil
+	}
+	c := &connection{
+		Conn: raw,
+		gate: g,
+	}
+	c.place = g.waiting.PushBack(c)
+	g.unfinished++
+	g.usage.Connections++
+	return c
+}
+
+// displaceOldest closes the connection that has waited the longest for its client.
+func (g *Gate) displaceOldest() {
+	oldest := g.waiting.Front()
+	if oldest == nil {
+		return
+	}
+	c := oldest.Value.(*connection)
+	c.closeLocked()
+	g.usage.Displaced++
+}
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -27,6 +27,7 @@
 
 	tanagerplatform "tanagersail.example/platform"
 	"tanagersail.example/tanager/tanagerdispatch"
+	"tanagersail.example/tanager/tanageringress"
 	"tanagersail.example/tanager/tanagerpeer"
 	"tanagersail.example/tanager/tanagertimer"
 	"tanagersail.example/tanagerd/tanagercell"
@@ -114,14 +115,20 @@
 	if err != nil {
 		return err
 	}
-	daemon, err := newMember(settings, meter, log)
+	timer := tanagertimer.NewReal()
+	daemon, err := newMember(settings, timer, meter, log)
 	if err != nil {
 		return err
 	}
-	servers, err := listen(settings, daemon, meter)
+	gate := tanageringress.New(tanageringress.NewLimits(settings.Limits.MemoryMB<<20, settings.Limits.MaxFiles))
+	if err := meter.ObserveClients(gate.Usage); err != nil {
+		return err
+	}
+	servers, err := listen(settings, daemon, meter, gate)
 	if err != nil {
 		return err
 	}
+	go ReportClients(context.Background(), gate, timer, log)
 	failed := make(chan error, len(servers)+1)
 	for _, s := range servers {
 		go func() { failed <- s.run() }()
@@ -134,7 +141,7 @@
 // given memory in MiB.
 func softMemoryLimit(memoryMB int64) int64 { return int64(softMemoryFraction * float64(memoryMB<<20)) }
 
-func newMember(s tanagersettings.MemberSettings, meter *tanagermeter.Meter,
+func newMember(s tanagersettings.MemberSettings, timer tanagertimer.Service, meter *tanagermeter.Meter,
 	log zerolog.Logger) (*tanagercell.Daemon, error) {
 	timeouts := tanagerplatform.Timeouts{
 		Dial:     dialTimeout,
@@ -178,7 +185,7 @@
 			RemoteFactor: s.Work.RemoteFactor,
 		},
 		MaxValueBytes: s.Limits.MaxValueBytes,
-	}, ports, tanagertimer.NewReal(), meter, log), nil
+	}, ports, timer, meter, log), nil
 }
 
 // server is an HTTP server with its listener.
@@ -196,7 +203,10 @@
 	return nil
 }
 
-func listen(s tanagersettings.MemberSettings, d *tanagercell.Daemon, meter *tanagermeter.Meter) ([]*server, error) {
+// listen returns the servers of a member. Only that for callers is behind the gate:
+// the platform and the operator's network keep clients from the others.
+func listen(s tanagersettings.MemberSettings, d *tanagercell.Daemon, meter *tanagermeter.Meter,
+	gate *tanageringress.Gate) ([]*server, error) {
 	ready := chi.NewRouter()
 	ready.Get(tanagerplatform.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
 		if !d.Frontend().Ready() {
@@ -207,14 +217,18 @@
 	metrics.Handle("/metrics", meter.Handler())
 	peers := chi.NewRouter()
 	peers.Handle(tanagerpeer.Path, d.PeerHandler())
-	endpoints := []struct {
+	callerListener, err := gate.Listen(s.Daemon.CallerAddress)
+	if err != nil {
+		return nil, err
+	}
+	callers := newServer(tanagerplatform.NewCallerHandler(d.Frontend()), callerListener)
+	callers.servesCallers = true
+	gate.Configure(callers.http)
+	servers := []*server{callers}
+	for _, e := range []struct {
 		address netip.AddrPort
 		handler http.Handler
 	}{
-		{
-			address: s.Daemon.CallerAddress,
-			handler: tanagerplatform.NewCallerHandler(d.Frontend()),
-		},
 		{
 			address: s.Daemon.ReadinessAddress,
 			handler: ready,
@@ -227,26 +241,27 @@
 			address: s.Daemon.PeerListen,
 			handler: peers,
 		},
-	}
-	var servers []*server
-	for i, e := range endpoints {
+	} {
 		listener, err := net.Listen("tcp", e.address.String())
 		if err != nil {
 			return nil, errorx.Decorate(err, "listen on %s", e.address)
 		}
-		servers = append(servers, &server{
-			http: &http.Server{
-				Handler:           e.handler,
-				ReadHeaderTimeout: headerTimeout,
-				IdleTimeout:       idleTimeout,
-			},
-			listener:      listener,
-			servesCallers: i == 0,
-		})
+		servers = append(servers, newServer(e.handler, listener))
 	}
 	return servers, nil
 }
 
+func newServer(handler http.Handler, listener net.Listener) *server {
+	return &server{
+		http: &http.Server{
+			Handler:           handler,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+		},
+		listener: listener,
+	}
+}
+
 // waitForShutdown waits for a signal and then shuts down in order: report not
 // ready and hand over, wait for drainDelay, complete the callers' requests,
 // close the daemon. SIGHUP reloads the settings. waitForShutdown returns early if
--- a/tanagerd/tanagermeter/meter.go
+++ b/tanagerd/tanagermeter/meter.go
@@ -21,6 +21,8 @@
 	exporter "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"tanagersail.example/tanager/tanageringress"
 )
 
 // Errors is the namespace of this package's errors.
@@ -43,6 +45,7 @@
 	forecastError metric.Float64Histogram
 	messageCount  metric.Int64Counter
 	messageBytes  metric.Int64Counter
+	source        metric.Meter
 }
 
 // New returns a meter. An error is of type SetupFailed.
@@ -54,7 +57,10 @@
 	}
 	provider := sdk.NewMeterProvider(sdk.WithReader(reader))
 	source := provider.Meter("tanagersail")
-	m := &Meter{registry: registry}
+	m := &Meter{
+		registry: registry,
+		source:   source,
+	}
 	if m.callLatency, err = newLatencyHistogram(source, "tanager_caller_answer",
 		"Time to answer a caller, by call and reply."); err != nil {
 		return nil, err
@@ -140,3 +146,29 @@
 	m.messageCount.Add(ctx, 1, attributes)
 	m.messageBytes.Add(ctx, int64(size), attributes)
 }
+
+// ObserveClients makes the meter read what clients use whenever the metrics are
+// collected. An error is of type SetupFailed.
+func (m *Meter) ObserveClients(usage func() tanageringress.Usage) error {
+	connections, err := m.source.Int64ObservableGauge("tanager_client_connections",
+		metric.WithDescription("Open connections of clients."))
+	if err != nil {
+		return SetupFailed.Wrap(err, "create gauge of connections")
+	}
+	turnedAway, err := m.source.Int64ObservableCounter("tanager_clients_turned_away",
+		metric.WithDescription("Clients that were turned away, by reason."))
+	if err != nil {
+		return SetupFailed.Wrap(err, "create counter of clients that were turned away")
+	}
+	_, err = m.source.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+		u := usage()
+		o.ObserveInt64(connections, int64(u.Connections))
+		o.ObserveInt64(turnedAway, int64(u.Displaced), metric.WithAttributes(attribute.String("reason", "displaced")))
+		o.ObserveInt64(turnedAway, int64(u.Refused), metric.WithAttributes(attribute.String("reason", "refused")))
+		return nil
+	}, connections, turnedAway)
+	if err != nil {
+		return SetupFailed.Wrap(err, "register the reading of clients")
+	}
+	return nil
+}
