Bound what clients that read no response hold

Clients that sent requests on and on and read nothing made a daemon hold their bytes: resident and unread together passed the memory of its machine, where unread bytes count too.

Cause: a connection's receive buffer grows to megabytes, the server reads no further request until the response to the last one is sent, and nothing ends a write that no client reads.

Evidence: TestCrowdThatDoesNotRead has 600 clients that send queries and read nothing, against a daemon with 96 MB.

The listener's receive buffer is 16 KiB, which its connections inherit and the kernel does not enlarge, and a client has five seconds beyond the time for its request to read the response.

--- a/soak/tanagersoak/crowd_test.go
+++ b/soak/tanagersoak/crowd_test.go
@@ -322,6 +322,17 @@
 
 // Guards against requests that are sent on and on by clients that read no
 // response.
+func TestCrowdThatDoesNotRead(t *testing.T) {
+	newCrowdTest(t, crowdMaxFiles).face(crowdSize, 1, func(w io.ReadWriter) error {
+		request := "GET " + jobPath() + " HTTP/1.1\r\nHost: " + tanagersite.QueueHost + "\r\n\r\n"
+		for {
+			if _, err := io.WriteString(w, strings.Repeat(request, 100)); err != nil {
+				return err
+			}
+		}
+	}, false)
+}
+
 // Guards against limits that a legal request meets in calm: a body of exactly the
 // largest size in any form, and a head of many KiB.
 func TestLargestLegalRequestsAreServed(t *testing.T) {
--- a/tanager/tanageringress/connection.go
+++ b/tanager/tanageringress/connection.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"net"
 	"net/http"
+	"time"
 )
 
 // connectionKey is the key of a request's connection in its context.
@@ -21,18 +22,30 @@
 	finished bool
 }
 
-// Received tells the gate that a request was received completely. Its connection
-// is kept until the response is written. Requests of other servers are ignored.
-func Received(r *http.Request) {
-	if c, ok := r.Context().Value(connectionKey{}).(*connection); ok {
-		c.received()
+// fromRequest returns the connection of a request, or nil if its server has no gate.
+func fromRequest(r *http.Request) *connection {
+	c, _ := r.Context().Value(connectionKey{}).(*connection)
+	return c
+}
+
+// Begin limits the time that the client of a request may take to read the response:
+// timeout, the time for the request, and responseTimeout. It does nothing for
+// requests of a server without a gate, and nor does Received.
+func Begin(r *http.Request, timeout time.Duration) {
+	if c := fromRequest(r); c != nil {
+		// It fails only if the connection is closed, as do the writes then.
+		_ = c.SetWriteDeadline(c.gate.timer.Now().Add(timeout + responseTimeout))
 	}
 }
 
-func (c *connection) received() {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	c.stopWaiting()
+// Received tells the gate that a request was received completely. Its connection
+// is kept until the response is written.
+func Received(r *http.Request) {
+	if c := fromRequest(r); c != nil {
+		c.gate.mu.Lock()
+		defer c.gate.mu.Unlock()
+		c.stopWaiting()
+	}
 }
 
 func (c *connection) stopWaiting() {
--- a/tanager/tanageringress/doc.go
+++ b/tanager/tanageringress/doc.go
@@ -8,6 +8,9 @@
 // A connection whose request is being handled is never closed for another. A crowd
 // that only stays connected thus makes room for clients that send requests.
 //
+// The receive buffers of the connections are small, and the time for a response is
+// limited, so that clients which send on and on and read nothing hold little.
+//
 // # Usage
 //
 //	gate := tanageringress.New(tanageringress.NewLimits(memoryBytes, maxFiles), timer)
@@ -16,8 +19,9 @@
 //	gate.Configure(server)
 //	err = server.Serve(listener)
 //
-// The handler tells the gate when it has received a request, so that its connection
-// is kept until the response is written:
+// The handler tells the gate when it begins and when it has received a request, so
+// that the connection is kept until the response is written:
 //
+//	tanageringress.Begin(r, timeout)
 //	tanageringress.Received(r)
 package tanageringress
--- a/tanager/tanageringress/gate.go
+++ b/tanager/tanageringress/gate.go
@@ -3,12 +3,16 @@
 import (
 	"container/list"
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 
 	"github.com/joomcode/errorx"
+
+	"tanagersail.example/tanager/tanagertimer"
 )
 
 // Errors is the namespace of this package's errors.
@@ -35,6 +39,7 @@
 // Gate bounds the connections of a process. It is safe for concurrent use.
 type Gate struct {
 	limits Limits
+	timer  tanagertimer.Service
 
 	mu sync.Mutex
 	// waiting holds the connections that wait for their client, the one without a
@@ -46,9 +51,10 @@
 }
 
 // New returns a gate.
-func New(l Limits) *Gate {
+func New(l Limits, timer tanagertimer.Service) *Gate {
 	return &Gate{
 		limits:  l,
+		timer:   timer,
 		waiting: list.New(),
 	}
 }
@@ -62,7 +68,8 @@
 
 // Listen listens on an address. The type of its error is ListenFailed.
 func (g *Gate) Listen(address netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", address.String())
+	config := net.ListenConfig{Control: setReceiveBuffer}
+	l, err := config.Listen(context.Background(), "tcp", address.String())
 	if err != nil {
 		return nil, ListenFailed.Wrap(err, "address %s", address)
 	}
@@ -72,6 +79,16 @@
 	}, nil
 }
 
+// setReceiveBuffer sets the receive buffer of a listener, which its connections
+// inherit. It also keeps the kernel from enlarging that of a fast connection.
+func setReceiveBuffer(_, _ string, c syscall.RawConn) error {
+	var err error
+	controlErr := c.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
+	})
+	return errors.Join(err, controlErr)
+}
+
 // Configure prepares a server for the gate's listeners.
 func (g *Gate) Configure(s *http.Server) {
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
--- a/tanager/tanageringress/gate_test.go
+++ b/tanager/tanageringress/gate_test.go
@@ -6,8 +6,11 @@
 	"net/http"
 	"net/netip"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"tanagersail.example/tanager/tanagertimer"
 )
 
 // serve starts a server behind a gate and returns a function that connects to it.
@@ -44,7 +47,7 @@
 // connection that has waited the longest makes room.
 func TestOldestWaitingConnectionIsDisplaced(t *testing.T) {
 	c := qt.New(t)
-	g := New(Limits{Connections: 2})
+	g := New(Limits{Connections: 2}, tanagertimer.NewReal())
 	dial := serve(t, g, func(_ http.ResponseWriter, r *http.Request) { Received(r) })
 	answered := func(connection net.Conn) {
 		send(c, connection, request)
@@ -69,7 +72,7 @@
 // are in this state, a new one is refused.
 func TestHandledRequestIsNotDisplaced(t *testing.T) {
 	c := qt.New(t)
-	g := New(Limits{Connections: 1})
+	g := New(Limits{Connections: 1}, tanagertimer.NewReal())
 	started, finish := make(chan struct{}), make(chan struct{})
 	dial := serve(t, g, func(_ http.ResponseWriter, r *http.Request) {
 		Received(r)
@@ -95,3 +98,16 @@
 	c.Check(NewLimits(100<<20, 1<<20).Connections, qt.Equals, 320)
 	c.Check(NewLimits(1<<20, 1<<20).Connections, qt.Equals, minConnections)
 }
+
+// Guards against a client that never reads its response: the connection ends when
+// the time for it is over.
+func TestTimeForResponseIsLimited(t *testing.T) {
+	c := qt.New(t)
+	passed := tanagertimer.NewManual(time.Now().Add(-time.Hour))
+	dial := serve(t, New(Limits{Connections: 2}, passed), func(_ http.ResponseWriter, r *http.Request) {
+		Begin(r, time.Second)
+	})
+	connection := dial()
+	send(c, connection, request)
+	c.Check(isClosed(connection), qt.IsTrue)
+}
--- a/tanager/tanageringress/limits.go
+++ b/tanager/tanageringress/limits.go
@@ -1,5 +1,7 @@
 package tanageringress
 
+import "time"
+
 // Limits bounds what the clients of a process hold.
 type Limits struct {
 	// Connections is the number of open connections.
@@ -16,6 +18,12 @@
 	// two stacks of 8 KiB, the free bytes of its request, decoded, and the bytes that
 	// wait in the kernel.
 	connectionBytes = 128 << 10
+	// receiveBufferBytes is the receive buffer of a connection. Linux allows twice as
+	// much for its own bookkeeping.
+	receiveBufferBytes = 16 << 10
+	// responseTimeout is how long a client may take to read a response after the time
+	// for its request is over.
+	responseTimeout = 5 * time.Second
 	// minConnections is the number of connections of a process with very little
 	// memory.
 	minConnections = 16
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -120,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	gate := tanageringress.New(tanageringress.NewLimits(settings.Limits.MemoryMB<<20, settings.Limits.MaxFiles))
+	gate := tanageringress.New(tanageringress.NewLimits(settings.Limits.MemoryMB<<20, settings.Limits.MaxFiles), timer)
 	if err := meter.ObserveClients(gate.Usage); err != nil {
 		return err
 	}
