Bound the memory of request heads

Heads over the limit or without end took more memory than a daemon has, and so did complete heads of 15 KB with thousands of fields in front of a body that never came.

Cause: the limit of a head was the 1 MiB of net/http, and nothing bounded their sum. A field of three bytes takes a hundred or more as an entry of a map of strings, while the head is read and until the request is answered.

Evidence: TestCrowdOfEndlessHeads and TestCrowdOfManyFields, 600 clients against a daemon with 96 MB.

A head may have 16 KiB (limits.max_header_bytes), and its bytes beyond the first four KiB count twentyfold against a budget for all callers, an eighth of memory_mb, as they come. If the budget is spent, a request that has stood still for a second makes room, or else the connection is closed; its caller may send the same job again. A head of ordinary size never asks for a part of the budget, and one that is alone is never refused.

--- a/soak/tanagersoak/crowd_test.go
+++ b/soak/tanagersoak/crowd_test.go
@@ -290,10 +290,42 @@
 // Guards against the same with chunked bodies, whose length is not announced.
 // Guards against heads that grow without end: one long field, many short fields,
 // which take far more memory than they have bytes, or empty lines.
+func TestCrowdOfEndlessHeads(t *testing.T) {
+	start := "POST " + jobPath() + " HTTP/1.1\r\nHost: " + tanagersite.QueueHost + "\r\n"
+	for name, text := range map[string]string{
+		"one_field":   start + "X: " + strings.Repeat("x", 1_000_000),
+		"many_fields": start + manyFields(15_000),
+		"empty_lines": strings.Repeat("\r\n", 500_000),
+		"long_target": "GET /" + strings.Repeat("x", 1_000_000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			newCrowdTest(t, crowdMaxFiles).face(crowdSize, crowdAttempts, func(w io.ReadWriter) error {
+				_, err := io.WriteString(w, text)
+				return err
+			}, true)
+		})
+	}
+}
+
 // manyFields returns header fields with different names that have a number of
 // bytes.
+func manyFields(size int) string {
+	var b strings.Builder
+	for i := 0; b.Len() < size; i++ {
+		b.WriteString(strconv.FormatInt(int64(i), 36) + ":\r\n")
+	}
+	return b.String()
+}
+
 // Guards against heads of legal size with many fields, which the daemon keeps
 // while it waits for the body.
+func TestCrowdOfManyFields(t *testing.T) {
+	newCrowdTest(t, crowdMaxFiles).face(crowdSize, crowdAttempts, func(w io.ReadWriter) error {
+		_, err := io.WriteString(w, head("Content-Length: 10\r\n"+manyFields(15_000)))
+		return err
+	}, true)
+}
+
 // Guards against complete bodies of legal size that take hundreds of times their
 // size when they are decoded.
 func TestBodiesOfManySteps(t *testing.T) {
--- a/tanager/tanageringress/connection.go
+++ b/tanager/tanageringress/connection.go
@@ -17,7 +17,15 @@
 
 	// place is the place in the gate's list of waiting connections. It is nil while a
 	// request is handled, and after the end.
-	place    *list.Element
+	place *list.Element
+	// lastByte is the time of the last byte in either direction.
+	lastByte time.Time
+	// inHead is set until the server has read the head of a request, of which
+	// headBytes have been read.
+	inHead    bool
+	headBytes int64
+	// reserved is the connection's part of the budget.
+	reserved int64
 	closed   bool
 	finished bool
 }
@@ -55,26 +63,82 @@
 	}
 }
 
+// wait puts the connection at the end of the waiting ones.
+func (c *connection) wait() {
+	c.stopWaiting()
+	c.lastByte = c.gate.timer.Now()
+	c.place = c.gate.waiting.PushBack(c)
+}
+
+// enter follows the server through the states of the connection.
+func (c *connection) enter(state http.ConnState) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.inHead = false
+	case http.StateIdle:
+		c.expectHead()
+	}
+}
+
+func (c *connection) expectHead() {
+	c.inHead = true
+	c.headBytes = 0
+	c.release()
+}
+
+func (c *connection) release() {
+	c.gate.usage.Bytes -= c.reserved
+	c.reserved = 0
+}
+
 // Read implements net.Conn.
 func (c *connection) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.gate.mu.Lock()
-		if c.place != nil {
-			c.gate.waiting.MoveToBack(c.place)
+	if n > 0 && !c.count(n) {
+		return 0, &net.OpError{
+			Op:   "read",
+			Net:  "tcp",
+			Addr: c.RemoteAddr(),
+			Err:  net.ErrClosed,
 		}
-		c.gate.mu.Unlock()
 	}
 	return n, err
 }
 
+// count notes that bytes were read. It closes the connection and returns false if
+// they belong to a head for which the budget has no room.
+func (c *connection) count(n int) bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.place != nil {
+		c.wait()
+	}
+	if !c.inHead {
+		return true
+	}
+	c.headBytes += int64(n)
+	missing := headFactor*max(c.headBytes-freeHeadBytes, 0) - c.reserved
+	if missing <= 0 || c.gate.reserve(c, missing) {
+		return true
+	}
+	c.end()
+	return false
+}
+
+// end ends the request of a connection that waits for its client.
+func (c *connection) end() {
+	// The connection is closed whatever the error is.
+	_ = c.closeLocked()
+}
+
 // Write implements net.Conn. A connection to which something is written waits for
 // its client.
 func (c *connection) Write(b []byte) (int, error) {
 	c.gate.mu.Lock()
 	if !c.closed {
-		c.stopWaiting()
-		c.place = c.gate.waiting.PushBack(c)
+		c.wait()
 	}
 	c.gate.mu.Unlock()
 	return c.Conn.Write(b)
@@ -108,6 +172,7 @@
 	}
 	c.closed = true
 	c.stopWaiting()
+	c.release()
 	c.gate.usage.Connections--
 	return c.Conn.Close()
 }
--- a/tanager/tanageringress/doc.go
+++ b/tanager/tanageringress/doc.go
@@ -8,12 +8,18 @@
 // A connection whose request is being handled is never closed for another. A crowd
 // that only stays connected thus makes room for clients that send requests.
 //
+// The gate also has a budget of bytes for what its connections hold beyond a few KiB
+// each. Heads of requests take from it as their bytes come, as much as they take in
+// memory: a field of few bytes takes many times its size. If the budget is spent, a
+// connection that asks for more of it gets the parts of requests that stand still,
+// or else is closed. Ordinary requests are so small that they do not depend on it.
+//
 // The receive buffers of the connections are small, and the time for a response is
 // limited, so that clients which send on and on and read nothing hold little.
 //
 // # Usage
 //
-//	gate := tanageringress.New(tanageringress.NewLimits(memoryBytes, maxFiles), timer)
+//	gate := tanageringress.New(tanageringress.NewLimits(memoryBytes, maxFiles, headBytes), timer)
 //	listener, err := gate.Listen(address)
 //	server := &http.Server{Handler: handler}
 //	gate.Configure(server)
--- a/tanager/tanageringress/gate.go
+++ b/tanager/tanageringress/gate.go
@@ -31,12 +31,17 @@
 type Usage struct {
 	// Connections is the number of open connections.
 	Connections int
+	// Bytes is the use of the budget.
+	Bytes int64
 	// Displaced is the number of connections that were closed for another since the
 	// start, and Refused the number that were closed as soon as they were made.
 	Displaced, Refused uint64
+	// Stalled is the number of requests that were ended while they stood still, to
+	// make room in the budget, and OverBudget the number that found no room.
+	Stalled, OverBudget uint64
 }
 
-// Gate bounds the connections of a process. It is safe for concurrent use.
+// Gate bounds the connections of a process and what it holds for them. It is safe for concurrent use.
 type Gate struct {
 	limits Limits
 	timer  tanagertimer.Service
@@ -94,6 +99,12 @@
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		return context.WithValue(ctx, connectionKey{}, c)
 	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if c, ok := c.(*connection); ok {
+			c.enter(state)
+		}
+	}
+	s.MaxHeaderBytes = g.limits.HeadBytes
 }
 
 type listener struct {
@@ -130,7 +141,8 @@
 		Conn: raw,
 		gate: g,
 	}
-	c.place = g.waiting.PushBack(c)
+	c.expectHead()
+	c.wait()
 	g.unfinished++
 	g.usage.Connections++
 	return c
@@ -142,7 +154,40 @@
 	if oldest == nil {
 		return
 	}
-	c := oldest.Value.(*connection)
-	c.closeLocked()
+	// The connection is closed whatever the error is.
+	_ = oldest.Value.(*connection).closeLocked()
 	g.usage.Displaced++
 }
+
+// reserve takes bytes of the budget for a connection. It ends requests that stand
+// still if too few are left, and returns false if that does not suffice. A
+// connection is never refused if no other has a part of the budget.
+func (g *Gate) reserve(c *connection, n int64) bool {
+	for g.usage.Bytes+n > g.limits.Bytes && g.usage.Bytes > c.reserved {
+		if !g.endStalled(c) {
+			g.usage.OverBudget++
+			return false
+		}
+	}
+	c.reserved += n
+	g.usage.Bytes += n
+	return true
+}
+
+// endStalled ends the request that has stood still for the longest time and has a
+// part of the budget, if that is at least stallTimeout. It spares one connection.
+func (g *Gate) endStalled(spared *connection) bool {
+	now := g.timer.Now()
+	for e := g.waiting.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*connection)
+		if now.Sub(c.lastByte) < stallTimeout {
+			return false
+		}
+		if c.reserved > 0 && c != spared {
+			c.end()
+			g.usage.Stalled++
+			return true
+		}
+	}
+	return false
+}
--- a/tanager/tanageringress/gate_test.go
+++ b/tanager/tanageringress/gate_test.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -94,9 +96,9 @@
 // Descriptors and memory both bound the connections.
 func TestNewLimits(t *testing.T) {
 	c := qt.New(t)
-	c.Check(NewLimits(1<<30, 100).Connections, qt.Equals, 40)
-	c.Check(NewLimits(100<<20, 1<<20).Connections, qt.Equals, 320)
-	c.Check(NewLimits(1<<20, 1<<20).Connections, qt.Equals, minConnections)
+	c.Check(NewLimits(1<<30, 100, 0).Connections, qt.Equals, 40)
+	c.Check(NewLimits(100<<20, 1<<20, 0).Connections, qt.Equals, 320)
+	c.Check(NewLimits(1<<20, 1<<20, 0).Connections, qt.Equals, minConnections)
 }
 
 // Guards against a client that never reads its response: the connection ends when
@@ -111,3 +113,34 @@
 	send(c, connection, request)
 	c.Check(isClosed(connection), qt.IsTrue)
 }
+
+// Guards against heads that take the memory of the process: a head beyond the
+// budget ends its connection, and one that stands still makes room for another.
+func TestHeadsShareBudget(t *testing.T) {
+	c := qt.New(t)
+	timer := tanagertimer.NewManual(time.Now())
+	const rest = 4 << 10
+	g := New(Limits{
+		Connections: 10,
+		Bytes:       headFactor*rest + rest,
+		HeadBytes:   16 << 10,
+	}, timer)
+	dial := serve(t, g, func(http.ResponseWriter, *http.Request) {})
+	head := "GET / HTTP/1.1\r\nHost: a\r\nX: "
+	head += strings.Repeat("x", freeHeadBytes+rest-len(head))
+	first, second, third := dial(), dial(), dial()
+	send(c, first, head)
+	for g.Usage().Bytes < headFactor*rest {
+		runtime.Gosched()
+	}
+	send(c, second, head)
+	c.Check(isClosed(second), qt.IsTrue)
+	timer.Advance(stallTimeout)
+	send(c, third, head+"\r\n\r\n")
+	c.Check(isClosed(third), qt.IsFalse)
+	c.Check(isClosed(first), qt.IsTrue)
+	usage := g.Usage()
+	c.Check(usage.OverBudget, qt.Equals, uint64(1))
+	c.Check(usage.Stalled, qt.Equals, uint64(1))
+	c.Check(usage.Bytes <= g.limits.Bytes, qt.IsTrue)
+}
--- a/tanager/tanageringress/limits.go
+++ b/tanager/tanageringress/limits.go
@@ -6,6 +6,12 @@
 type Limits struct {
 	// Connections is the number of open connections.
 	Connections int
+	// Bytes is the budget for heads beyond the free bytes of each connection. It
+	// counts what heads take in memory, not only their bytes.
+	Bytes int64
+	// HeadBytes is the size of a request's line and header fields. The HTTP server
+	// allows 4 KiB more.
+	HeadBytes int
 }
 
 const (
@@ -14,6 +20,18 @@
 	fileFraction = 0.4
 	// memoryFraction is the fraction of the memory that connections may use.
 	memoryFraction = 0.4
+	// budgetFraction is the fraction of the memory that the budget is.
+	budgetFraction = 0.125
+	// freeHeadBytes is the part of a head that is not counted: connectionBytes covers
+	// it. A server reads at most this much at once, so that ordinary requests do not
+	// depend on the budget.
+	freeHeadBytes = 4 << 10
+	// headFactor is what a head of short fields takes in memory as a multiple of its
+	// bytes.
+	headFactor = 20
+	// stallTimeout is the time without a byte after which a request may be ended to
+	// make room in the budget.
+	stallTimeout = time.Second
 	// connectionBytes is what one connection takes at most: two buffers of 4 KiB and
 	// two stacks of 8 KiB, the free bytes of its request, decoded, and the bytes that
 	// wait in the kernel.
@@ -29,11 +47,13 @@
 	minConnections = 16
 )
 
-// NewLimits returns the limits of a process with memory in bytes and a number of
-// descriptors.
-func NewLimits(memoryBytes int64, maxFiles int) Limits {
+// NewLimits returns the limits of a process with memory in bytes, a number of
+// descriptors and a limit of heads in bytes.
+func NewLimits(memoryBytes int64, maxFiles, headBytes int) Limits {
 	byMemory := int(memoryFraction * float64(memoryBytes) / connectionBytes)
 	return Limits{
 		Connections: max(min(int(fileFraction*float64(maxFiles)), byMemory), minConnections),
+		Bytes:       int64(budgetFraction * float64(memoryBytes)),
+		HeadBytes:   headBytes,
 	}
 }
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -120,7 +120,8 @@
 	if err != nil {
 		return err
 	}
-	gate := tanageringress.New(tanageringress.NewLimits(settings.Limits.MemoryMB<<20, settings.Limits.MaxFiles), timer)
+	limits := settings.Limits
+	gate := tanageringress.New(tanageringress.NewLimits(limits.MemoryMB<<20, limits.MaxFiles, limits.MaxHeaderBytes), timer)
 	if err := meter.ObserveClients(gate.Usage); err != nil {
 		return err
 	}
--- a/tanagerd/tanagerboot/clients.go
+++ b/tanagerd/tanagerboot/clients.go
@@ -35,9 +35,11 @@
 // between.
 func logTurnedAway(log zerolog.Logger, last, current tanageringress.Usage) {
 	displaced, refused := current.Displaced-last.Displaced, current.Refused-last.Refused
-	if displaced+refused == 0 {
+	stalled, overBudget := current.Stalled-last.Stalled, current.OverBudget-last.OverBudget
+	if displaced+refused+stalled+overBudget == 0 {
 		return
 	}
 	log.Warn().Str("event", "clients_turned_away").Uint64("displaced", displaced).Uint64("refused", refused).
-		Int("connections", current.Connections).Send()
+		Uint64("stalled", stalled).Uint64("over_budget", overBudget).
+		Int("connections", current.Connections).Int64("budget_used_bytes", current.Bytes).Send()
 }
--- a/tanagerd/tanagermeter/meter.go
+++ b/tanagerd/tanagermeter/meter.go
@@ -155,6 +155,11 @@
 	if err != nil {
 		return SetupFailed.Wrap(err, "create gauge of connections")
 	}
+	bytes, err := m.source.Int64ObservableGauge("tanager_client_bytes",
+		metric.WithDescription("Use of the budget for heads and bodies."), metric.WithUnit("By"))
+	if err != nil {
+		return SetupFailed.Wrap(err, "create gauge of bytes")
+	}
 	turnedAway, err := m.source.Int64ObservableCounter("tanager_clients_turned_away",
 		metric.WithDescription("Clients that were turned away, by reason."))
 	if err != nil {
@@ -163,10 +168,17 @@
 	_, err = m.source.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		u := usage()
 		o.ObserveInt64(connections, int64(u.Connections))
-		o.ObserveInt64(turnedAway, int64(u.Displaced), metric.WithAttributes(attribute.String("reason", "displaced")))
-		o.ObserveInt64(turnedAway, int64(u.Refused), metric.WithAttributes(attribute.String("reason", "refused")))
+		o.ObserveInt64(bytes, u.Bytes)
+		for reason, count := range map[string]uint64{
+			"displaced":   u.Displaced,
+			"refused":     u.Refused,
+			"stalled":     u.Stalled,
+			"over_budget": u.OverBudget,
+		} {
+			o.ObserveInt64(turnedAway, int64(count), metric.WithAttributes(attribute.String("reason", reason)))
+		}
 		return nil
-	}, connections, turnedAway)
+	}, connections, bytes, turnedAway)
 	if err != nil {
 		return SetupFailed.Wrap(err, "register the reading of clients")
 	}
--- a/tanagerd/tanagersettings/member.go
+++ b/tanagerd/tanagersettings/member.go
@@ -54,6 +54,9 @@
 	StopSeconds float64 `yaml:"stop_seconds"`
 	// MaxValueBytes is the largest value that the store accepts. The default is 1 MiB.
 	MaxValueBytes int `yaml:"max_value_bytes"`
+	// MaxHeaderBytes is the limit of a request's line and header fields. The default
+	// is 16 KiB.
+	MaxHeaderBytes int `yaml:"max_header_bytes"`
 }
 
 // MemberWork holds the parameters of running tasks.
@@ -89,6 +92,9 @@
 // defaultMaxValueBytes is the default of MemberLimits.MaxValueBytes.
 const defaultMaxValueBytes = 1 << 20
 
+// defaultMaxHeaderBytes is the default of MemberLimits.MaxHeaderBytes.
+const defaultMaxHeaderBytes = 16 << 10
+
 // defaultGangWaitMS is the default of MemberWork.GangWaitMS.
 const defaultGangWaitMS = 3000
 
@@ -109,7 +115,8 @@
 func ParseMember(content []byte) (MemberSettings, error) {
 	m := MemberSettings{
 		Limits: MemberLimits{
-			MaxValueBytes: defaultMaxValueBytes,
+			MaxValueBytes:  defaultMaxValueBytes,
+			MaxHeaderBytes: defaultMaxHeaderBytes,
 		},
 		Work: MemberWork{
 			GangWaitMS:   defaultGangWaitMS,
@@ -145,16 +152,17 @@
 		}
 	}
 	mustBePositive := map[string]float64{
-		"limits.cpu_share":       m.Limits.CPUCores,
-		"limits.memory_mb":       float64(m.Limits.MemoryMB),
-		"limits.max_files":       float64(m.Limits.MaxFiles),
-		"limits.stop_seconds":    m.Limits.StopSeconds,
-		"limits.max_value_bytes": float64(m.Limits.MaxValueBytes),
-		"work.longest_lease_ms":  m.Work.MaxLeaseMS,
-		"work.stop_grace_ms":     m.Work.StopGraceMS,
-		"work.gang_wait_ms":      m.Work.GangWaitMS,
-		"work.retention_s":       m.Work.RetentionS,
-		"work.remote_factor":     m.Work.RemoteFactor,
+		"limits.cpu_share":        m.Limits.CPUCores,
+		"limits.memory_mb":        float64(m.Limits.MemoryMB),
+		"limits.max_files":        float64(m.Limits.MaxFiles),
+		"limits.stop_seconds":     m.Limits.StopSeconds,
+		"limits.max_value_bytes":  float64(m.Limits.MaxValueBytes),
+		"limits.max_header_bytes": float64(m.Limits.MaxHeaderBytes),
+		"work.longest_lease_ms":   m.Work.MaxLeaseMS,
+		"work.stop_grace_ms":      m.Work.StopGraceMS,
+		"work.gang_wait_ms":       m.Work.GangWaitMS,
+		"work.retention_s":        m.Work.RetentionS,
+		"work.remote_factor":      m.Work.RemoteFactor,
 	}
 	for key, value := range mustBePositive {
 		if value <= 0 {
