Bound the memory of request bodies

Many large bodies of legal size at once ended a daemon, whole or in pieces, with a length or chunked, complete or just short of their end.

Cause: each body has a limit and their sum had none. io.ReadAll kept what had come of each, and nothing ended a body that stopped coming: the time for a request did not reach the reading of its body.

Evidence: TestCrowdOfStalledBodies, TestCrowdOfStalledChunks and TestCrowdOfLargeJobs, 600 clients with bodies of 256 KiB against a daemon with 96 MB.

A body's bytes beyond the first eight KiB count twice, as they are and decoded, against the budget of heads, as they come and until the response is written. Without room the oldest request that has stood still for a second gets a 503, and if there is none, the new one does. Small bodies do not need the budget, so that ordinary callers are served while a crowd stays. A body must be complete when the time for its request is over, or it gets a 503, too: in both cases the job has not been submitted, and the connection is closed (TestIncompleteBodyNeverRuns).

TestBodiesUpToLimit, TestLargestLegalRequestsAreServed: one request of the largest size is served in any form, even without a budget.

--- a/soak/tanagersoak/crowd_test.go
+++ b/soak/tanagersoak/crowd_test.go
@@ -284,10 +284,71 @@
 
 // stalledBody sends all bytes but the last of a body of the largest legal size, in
 // pieces.
+func stalledBody(pieceBytes int) func(io.ReadWriter) error {
+	return func(w io.ReadWriter) error {
+		if _, err := io.WriteString(w, head(fmt.Sprintf("Content-Length: %d\r\n", crowdMaxBodyBytes))); err != nil {
+			return err
+		}
+		return writePieces(w, crowdMaxBodyBytes-1, pieceBytes)
+	}
+}
+
+func writePieces(w io.Writer, size, pieceBytes int) error {
+	piece := make([]byte, pieceBytes)
+	for size > 0 {
+		n, err := w.Write(piece[:min(size, pieceBytes)])
+		if err != nil {
+			return err
+		}
+		size -= n
+	}
+	return nil
+}
+
 // stalledChunks is like stalledBody with a chunked body.
+func stalledChunks(chunkBytes int) func(io.ReadWriter) error {
+	return func(w io.ReadWriter) error {
+		b := bufio.NewWriterSize(w, 16<<10)
+		if _, err := b.WriteString(head("Transfer-Encoding: chunked\r\n")); err != nil {
+			return err
+		}
+		chunk := make([]byte, chunkBytes)
+		for sent := 0; sent < crowdMaxBodyBytes-1; {
+			n := min(chunkBytes, crowdMaxBodyBytes-1-sent)
+			if _, err := fmt.Fprintf(b, "%x\r\n%s\r\n", n, chunk[:n]); err != nil {
+				return err
+			}
+			sent += n
+		}
+		return b.Flush()
+	}
+}
+
 // Guards against a daemon that holds all bytes of bodies that stop coming: the
 // limit of one body does not bound their sum.
+func TestCrowdOfStalledBodies(t *testing.T) {
+	for name, pieceBytes := range map[string]int{
+		"whole":     crowdMaxBodyBytes,
+		"in_pieces": 4 << 10,
+	} {
+		t.Run(name, func(t *testing.T) {
+			newCrowdTest(t, crowdMaxFiles).face(crowdSize, crowdAttempts, stalledBody(pieceBytes), true)
+		})
+	}
+}
+
 // Guards against the same with chunked bodies, whose length is not announced.
+func TestCrowdOfStalledChunks(t *testing.T) {
+	for name, chunkBytes := range map[string]int{
+		"large": 64 << 10,
+		"small": 16,
+	} {
+		t.Run(name, func(t *testing.T) {
+			newCrowdTest(t, crowdMaxFiles).face(crowdSize, crowdAttempts, stalledChunks(chunkBytes), true)
+		})
+	}
+}
+
 // Guards against heads that grow without end: one long field, many short fields,
 // which take far more memory than they have bytes, or empty lines.
 func TestCrowdOfEndlessHeads(t *testing.T) {
@@ -346,6 +407,20 @@
 
 // Guards against complete jobs of the largest legal size, whose bodies and records
 // take their size in several places until they are stored.
+func TestCrowdOfLargeJobs(t *testing.T) {
+	body := string(jobOfSize(qt.New(t), crowdMaxBodyBytes))
+	newCrowdTest(t, crowdMaxFiles).face(crowdSize, 1, func(w io.ReadWriter) error {
+		if _, err := io.WriteString(w, head(fmt.Sprintf("Content-Length: %d\r\n", len(body)))+body); err != nil {
+			return err
+		}
+		response, err := http.ReadResponse(bufio.NewReader(w), nil)
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}, true)
+}
+
 // Guards against connections without a request that take the descriptors which the
 // daemon needs for the store, workers and other daemons.
 func TestCrowdOfIdleConnections(t *testing.T) {
--- a/tanager/tanageringress/connection.go
+++ b/tanager/tanageringress/connection.go
@@ -24,6 +24,8 @@
 	// headBytes have been read.
 	inHead    bool
 	headBytes int64
+	// inBody is set while ReadBody reads. ended is set when it was told to give up.
+	inBody, ended bool
 	// reserved is the connection's part of the budget.
 	reserved int64
 	closed   bool
@@ -36,13 +38,19 @@
 	return c
 }
 
-// Begin limits the time that the client of a request may take to read the response:
-// timeout, the time for the request, and responseTimeout. It does nothing for
-// requests of a server without a gate, and nor does Received.
+// Begin limits the time that the client of a request may take: timeout, the time for
+// the request, to send the body, and responseTimeout more to read the response. It
+// does nothing for requests of a server without a gate, and nor does Received.
 func Begin(r *http.Request, timeout time.Duration) {
-	if c := fromRequest(r); c != nil {
-		// It fails only if the connection is closed, as do the writes then.
-		_ = c.SetWriteDeadline(c.gate.timer.Now().Add(timeout + responseTimeout))
+	c := fromRequest(r)
+	if c == nil {
+		return
+	}
+	end := c.gate.timer.Now().Add(timeout)
+	// A deadline cannot be set on a connection that is closed; it needs none.
+	_ = c.SetWriteDeadline(end.Add(responseTimeout))
+	if r.ContentLength != 0 {
+		_ = c.SetReadDeadline(end)
 	}
 }
 
@@ -127,10 +135,36 @@
 	return false
 }
 
-// end ends the request of a connection that waits for its client.
+// end ends the request of a connection that waits for its client. ReadBody returns
+// if it is reading; otherwise the connection is closed.
 func (c *connection) end() {
-	// The connection is closed whatever the error is.
-	_ = c.closeLocked()
+	if !c.inBody {
+		// The connection is closed whatever the error is.
+		_ = c.closeLocked()
+		return
+	}
+	c.limitReading(longAgo)
+	c.ended = true
+	c.stopWaiting()
+	c.release()
+}
+
+// limitReading sets the deadline of reads, unless the request was ended.
+func (c *connection) limitReading(t time.Time) {
+	if !c.ended {
+		// A deadline cannot be set on a connection that is closed; it needs none.
+		_ = c.Conn.SetReadDeadline(t)
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *connection) SetReadDeadline(t time.Time) error {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	if c.ended {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
 }
 
 // Write implements net.Conn. A connection to which something is written waits for
--- a/tanager/tanageringress/gate.go
+++ b/tanager/tanageringress/gate.go
@@ -37,8 +37,9 @@
 	// start, and Refused the number that were closed as soon as they were made.
 	Displaced, Refused uint64
 	// Stalled is the number of requests that were ended while they stood still, to
-	// make room in the budget, and OverBudget the number that found no room.
-	Stalled, OverBudget uint64
+	// make room in the budget, OverBudget the number that found no room, and TooLate
+	// the number whose body was incomplete when their time was over.
+	Stalled, OverBudget, TooLate uint64
 }
 
 // Gate bounds the connections of a process and what it holds for them. It is safe for concurrent use.
--- a/tanager/tanageringress/limits.go
+++ b/tanager/tanageringress/limits.go
@@ -6,8 +6,8 @@
 type Limits struct {
 	// Connections is the number of open connections.
 	Connections int
-	// Bytes is the budget for heads beyond the free bytes of each connection. It
-	// counts what heads take in memory, not only their bytes.
+	// Bytes is the budget for heads and bodies beyond the free bytes of each
+	// connection. It counts what they take in memory, not only their bytes.
 	Bytes int64
 	// HeadBytes is the size of a request's line and header fields. The HTTP server
 	// allows 4 KiB more.
@@ -26,6 +26,11 @@
 	// it. A server reads at most this much at once, so that ordinary requests do not
 	// depend on the budget.
 	freeHeadBytes = 4 << 10
+	// freeBodyBytes is the part of a body that is not counted: connectionBytes covers
+	// it.
+	freeBodyBytes = 8 << 10
+	// bodyFactor counts a body as it is and decoded.
+	bodyFactor = 2
 	// headFactor is what a head of short fields takes in memory as a multiple of its
 	// bytes.
 	headFactor = 20
--- a/tanagerd/tanagerboot/clients.go
+++ b/tanagerd/tanagerboot/clients.go
@@ -36,10 +36,11 @@
 func logTurnedAway(log zerolog.Logger, last, current tanageringress.Usage) {
 	displaced, refused := current.Displaced-last.Displaced, current.Refused-last.Refused
 	stalled, overBudget := current.Stalled-last.Stalled, current.OverBudget-last.OverBudget
-	if displaced+refused+stalled+overBudget == 0 {
+	tooLate := current.TooLate - last.TooLate
+	if displaced+refused+stalled+overBudget+tooLate == 0 {
 		return
 	}
 	log.Warn().Str("event", "clients_turned_away").Uint64("displaced", displaced).Uint64("refused", refused).
-		Uint64("stalled", stalled).Uint64("over_budget", overBudget).
+		Uint64("stalled", stalled).Uint64("over_budget", overBudget).Uint64("too_late", tooLate).
 		Int("connections", current.Connections).Int64("budget_used_bytes", current.Bytes).Send()
 }
--- a/tanagerd/tanagermeter/meter.go
+++ b/tanagerd/tanagermeter/meter.go
@@ -174,6 +174,7 @@
 			"refused":     u.Refused,
 			"stalled":     u.Stalled,
 			"over_budget": u.OverBudget,
+			"too_late":    u.TooLate,
 		} {
 			o.ObserveInt64(turnedAway, int64(count), metric.WithAttributes(attribute.String("reason", reason)))
 		}
