Refuse no job that was accepted for want of room

A caller whose first response was lost sends its job again, and for an accepted job a 503 would be false: it says that the job never runs. Since the budget of bodies a body without room got a 503 without a look at its job.

Found by comparing the refusals with Frontend.Submit, which asks the scheduler before it rejects. Refuse does the same for a body that was not read: 200 if the scheduler has the job, a 503 with Retry-After if not.

--- a/tanagerd/tanagercell/frontend.go
+++ b/tanagerd/tanagercell/frontend.go
@@ -72,6 +72,18 @@
 	return f.reportSubmit(s.Queue.Name, s.ID, start, decision, result)
 }
 
+// Refuse rejects a job whose submission could not be read for want of room, unless the
+// scheduler has the job. Such requests can be many, so they are only counted.
+func (f *Frontend) Refuse(ctx context.Context, id tanagerwork.JobID) tanagerport.Result {
+	start := f.control.timer.Now()
+	result := f.acceptedOr(ctx, id, tanagerport.Result{
+		Reply:      tanagerport.ReplyUnavailable,
+		RetryAfter: unavailableRetryAfter,
+	})
+	f.control.metrics.ObserveCall(f.control.ctx, "refuse", string(result.Reply), f.control.timer.Now().Sub(start))
+	return result
+}
+
 // acceptedOr returns an acceptance if the scheduler has the job, and the rejection
 // otherwise, or if the scheduler does not respond within acceptedRequestTimeout.
 func (f *Frontend) acceptedOr(ctx context.Context, id tanagerwork.JobID, rejection tanagerport.Result) tanagerport.Result {
--- a/tanagerd/tanagercell/frontend_test.go
+++ b/tanagerd/tanagercell/frontend_test.go
@@ -132,3 +132,13 @@
 	c.Check(record.Policy.MaxAttempts, qt.Equals, 4)
 	c.Check(record.Policy.Advice.TicketTTL, qt.Equals, time.Second)
 }
+
+// Guards against a false refusal for want of room, as does TestAcceptedJobIsNeverRejected.
+func TestAcceptedJobIsNeverRefused(t *testing.T) {
+	const accepted, other = "0000000000000001", "0000000000000002"
+	f := newTestFrontend(t, accepted)
+	qt.Check(t, f.Refuse(context.Background(), accepted).Reply, qt.Equals, tanagerport.ReplyAccepted)
+	refused := f.Refuse(context.Background(), other)
+	qt.Check(t, refused.Reply, qt.Equals, tanagerport.ReplyUnavailable)
+	qt.Check(t, refused.RetryAfter > 0, qt.IsTrue)
+}
