Cut the paths of invalid requests in the log

Nobody has met it; found by reading what else a crowd's requests leave in memory. A rejected request is logged with its path, which may be as long as a head, and up to 20,000 lines wait for the output: 300 MB if that is slow.

The path is cut to 100 bytes. TestLoggedPathIsShort failed before.

--- a/tanagerd/tanagercell/frontend.go
+++ b/tanagerd/tanagercell/frontend.go
@@ -281,8 +281,13 @@
 	}
 }
 
+// maxLoggedPath is the length to which the path of an invalid request is cut in the
+// log, in bytes. Lines wait in memory for the output.
+const maxLoggedPath = 100
+
 // Rejected logs an invalid request and the error status of its response.
 func (f *Frontend) Rejected(method, path string, status int, cause error) {
+	path = path[:min(len(path), maxLoggedPath)]
 	f.control.log.Warn().Str("event", "request_rejected").Str("method", method).Str("path", path).
 		Int("status", status).Err(cause).Send()
 }
--- a/tanagerd/tanagercell/frontend_test.go
+++ b/tanagerd/tanagercell/frontend_test.go
@@ -1,11 +1,14 @@
 package tanagercell
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/rs/zerolog"
 
 	"tanagersail.example/tanager/tanageradmission"
 	"tanagersail.example/tanager/tanagerdispatch"
@@ -142,3 +145,14 @@
 	qt.Check(t, refused.Reply, qt.Equals, tanagerport.ReplyUnavailable)
 	qt.Check(t, refused.RetryAfter > 0, qt.IsTrue)
 }
+
+// Guards against log lines as long as the paths of invalid requests, many of which
+// wait in memory if the output is slow.
+func TestLoggedPathIsShort(t *testing.T) {
+	var out bytes.Buffer
+	f := newTestFrontend(t, "0000000000000001")
+	f.control.log = zerolog.New(&out)
+	f.Rejected("GET", strings.Repeat("x", 1<<14), 400, tanagerport.Malformed.New("test"))
+	qt.Check(t, out.String(), qt.Contains, strings.Repeat("x", maxLoggedPath))
+	qt.Check(t, out.Len() < 4*maxLoggedPath, qt.IsTrue, qt.Commentf("%d bytes", out.Len()))
+}
