Bound what callers of the HTTP API make a daemon hold

The API of `tanagerd run` had the same doors as the cell: bodies that stall, complete bodies that wait in a queue, heads, and connections took all the memory and the descriptors of the daemon.

Each body may have 1 MiB, the sum of those that are read or wait for a slot had no bound, and neither had heads nor connections. The daemon did not know its memory.

Evidence: TestAPICrowds, 300 clients against a daemon with 96 MB and 1,024 descriptors (150 for idle clients).

The API is behind a gate now, its settings have limits.memory_mb (256), limits.max_files (4096) and limits.max_header_bytes (16384), and the runtime's soft memory limit follows from the first, as in the cell. A request's body keeps its part of the budget until the response is written, so it bounds the queue, too. Without room the answer is queue_full, not run.

--- a/tanager/tanageringress/gate.go
+++ b/tanager/tanageringress/gate.go
@@ -42,6 +42,18 @@
 	Stalled, OverBudget, TooLate uint64
 }
 
+// TurnedAway returns the numbers of clients that were turned away since the start, by
+// reason.
+func (u Usage) TurnedAway() map[string]uint64 {
+	return map[string]uint64{
+		"displaced":   u.Displaced,
+		"refused":     u.Refused,
+		"stalled":     u.Stalled,
+		"over_budget": u.OverBudget,
+		"too_late":    u.TooLate,
+	}
+}
+
 // Gate bounds the connections of a process and what it holds for them. It is safe for concurrent use.
 type Gate struct {
 	limits Limits
--- a/tanager/tanageringress/limits.go
+++ b/tanager/tanageringress/limits.go
@@ -14,6 +14,9 @@
 	HeadBytes int
 }
 
+// DefaultHeadBytes is the usual value of Limits.HeadBytes.
+const DefaultHeadBytes = 16 << 10
+
 const (
 	// fileFraction is the fraction of the descriptors that clients may use. The rest
 	// is for the store, workers and other daemons.
--- a/tanagerd/serve.go
+++ b/tanagerd/serve.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"tanagersail.example/tanager/tanagerburn"
+	"tanagersail.example/tanager/tanageringress"
 	"tanagersail.example/tanager/tanagerlease"
 	"tanagersail.example/tanager/tanagerpeer"
 	"tanagersail.example/tanager/tanagerplatform"
@@ -25,6 +27,7 @@
 	"tanagersail.example/tanager/tanagerstore"
 	"tanagersail.example/tanager/tanagertimer"
 	"tanagersail.example/tanagerd/tanagerapi"
+	"tanagersail.example/tanagerd/tanagerboot"
 	"tanagersail.example/tanagerd/tanagercontrol"
 	"tanagersail.example/tanagerd/tanagermember"
 	"tanagersail.example/tanagerd/tanagermessage"
@@ -50,6 +53,8 @@
 	tickInterval     = 50 * time.Millisecond
 	drainTimeout     = 60 * time.Second
 	shutdownTimeout  = 30 * time.Second
+	headerTimeout    = 10 * time.Second
+	idleTimeout      = 60 * time.Second
 )
 
 // daemon holds the components of a running daemon.
@@ -60,6 +65,7 @@
 	timer     *tanagertimer.Real
 	store     *tanagerstore.Client
 	transport *tanagerpeer.Transport
+	gate      *tanageringress.Gate
 	directory *directory
 	drained   chan struct{}
 }
@@ -82,7 +88,9 @@
 			FailureDomain: s.Daemon.FailureDomain,
 			Region:        s.Daemon.Region,
 		},
-		timer:     timer,
+		timer: timer,
+		gate: tanageringress.New(
+			tanageringress.NewLimits(s.Limits.MemoryMB<<20, s.Limits.MaxFiles, s.Limits.MaxHeaderBytes), timer),
 		directory: newDirectory(),
 		drained:   make(chan struct{}),
 	}
@@ -119,6 +127,7 @@
 func (d *daemon) run() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	debug.SetMemoryLimit(tanagerboot.SoftMemoryLimit(d.settings.Limits.MemoryMB))
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 
@@ -133,14 +142,20 @@
 	if err != nil {
 		return err
 	}
-	apiServer, err := listen(d.settings.Daemon.HTTPAddress, api.Handler(metrics))
+	apiListener, err := d.gate.Listen(d.settings.Daemon.HTTPAddress)
 	if err != nil {
 		return err
 	}
-	peerServer, err := listen(d.settings.Daemon.PeerListen, api.PeerHandler())
+	apiServer := newServer(api.Handler(metrics))
+	d.gate.Configure(apiServer)
+	peerServer := newServer(api.PeerHandler())
+	peerListener, err := listen(d.settings.Daemon.PeerListen)
 	if err != nil {
 		return err
 	}
+	serveInBackground(apiServer, apiListener)
+	serveInBackground(peerServer, peerListener)
+	go tanagerboot.ReportClients(ctx, d.gate, d.timer, d.log)
 
 	messages, err := d.transport.Subscribe(ctx, tanagerpeer.AllTopics)
 	if err != nil {
@@ -265,22 +280,28 @@
 		StoreCalls:   d.store.CallCounts,
 		Peers:        d.transport,
 		BurnRecorder: burnRecorder,
+		Clients:      d.gate.Usage,
 		Log:          d.log,
 	})
 }
 
-// listen listens on an address and serves a handler there in a new goroutine.
-// The type of its error is listenFailed.
-func listen(address netip.AddrPort, handler http.Handler) (*http.Server, error) {
+// listen listens on an address. The type of its error is listenFailed.
+func listen(address netip.AddrPort) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address.String())
 	if err != nil {
 		return nil, listenFailed.Wrap(err, "address %s", address)
 	}
-	server := &http.Server{
+	return listener, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
 		Handler:           handler,
-		ReadHeaderTimeout: 10 * time.Second,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
 	}
-	// The error is ignored: Serve returns one whenever the server is shut down.
-	go func() { _ = server.Serve(listener) }()
-	return server, nil
 }
+
+// serveInBackground ignores the error: Serve returns one whenever the server is shut
+// down.
+func serveInBackground(s *http.Server, l net.Listener) { go func() { _ = s.Serve(l) }() }
--- a/tanagerd/tanagerapi/api.go
+++ b/tanagerd/tanagerapi/api.go
@@ -1,10 +1,12 @@
 package tanagerapi
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,10 +14,12 @@
 
 	"github.com/ThreeDotsLabs/watermill/message"
 	"github.com/go-chi/chi/v5"
+	"github.com/joomcode/errorx"
 	"github.com/rs/zerolog"
 
 	"tanagersail.example/tanager/tanagerburn"
 	"tanagersail.example/tanager/tanagerfailure"
+	"tanagersail.example/tanager/tanageringress"
 	"tanagersail.example/tanager/tanagerpeer"
 	"tanagersail.example/tanager/tanagerstore"
 	"tanagersail.example/tanager/tanagertimer"
@@ -43,6 +47,10 @@
 	maxRequestIDs         = 1000
 	maxJobWait            = time.Minute
 	controlCallTimeout    = 5 * time.Second
+	// maxCallTime is the longest time for a call without a body, and maxBodyTime that
+	// for a call with a body, except for requests to services.
+	maxCallTime = maxJobWait + 2*controlCallTimeout
+	maxBodyTime = 2 * controlCallTimeout
 )
 
 // Inbox receives messages for the control goroutine.
@@ -72,7 +80,9 @@
 	StoreCalls   func() tanagerstore.CallCounts
 	Peers        *tanagerpeer.Transport
 	BurnRecorder *tanagerburn.Recorder
-	Log          zerolog.Logger
+	// Clients returns what the clients of the API use.
+	Clients func() tanageringress.Usage
+	Log     zerolog.Logger
 }
 
 // API serves the HTTP API of one daemon.
@@ -98,6 +108,7 @@
 // Handler returns the handler for callers, operators, health checks and metrics.
 func (a *API) Handler(metrics *tanagermetric.Metrics) http.Handler {
 	r := chi.NewRouter()
+	r.Use(limitTime)
 	r.Get("/health/live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/health/ready", a.handleReady)
 	r.Handle("/metrics", metrics.Handler())
@@ -117,6 +128,20 @@
 	return r
 }
 
+// limitTime limits the time for which a client may occupy its connection with a
+// request.
+func limitTime(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			tanageringress.Begin(r, maxCallTime)
+			tanageringress.Received(r)
+		} else {
+			tanageringress.Begin(r, maxBodyTime)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 // PeerHandler returns the handler for connections from other daemons.
 func (a *API) PeerHandler() http.Handler {
 	r := chi.NewRouter()
@@ -244,16 +269,33 @@
 // decodeBody decodes the JSON body of a request into v. It rejects unknown
 // fields.
 func decodeBody(w http.ResponseWriter, r *http.Request, v any) *tanagerfailure.Failure {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	body, failure := readBody(w, r)
+	if failure != nil {
+		return failure
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
 	decoder.DisallowUnknownFields()
-	err := decoder.Decode(v)
+	if err := decoder.Decode(v); err != nil {
+		return tanagerfailure.New(tanagerfailure.MalformedBody, "the body is not valid: "+err.Error())
+	}
+	return nil
+}
+
+// readBody returns the body of a request.
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *tanagerfailure.Failure) {
+	body, err := tanageringress.ReadBody(w, r, maxBodyBytes)
 	switch {
 	case err == nil:
-		return nil
-	case isBodyTooLarge(err):
-		return bodyTooLarge()
+		return body, nil
+	case errorx.IsOfType(err, tanageringress.TooLarge):
+		return nil, tanagerfailure.New(tanagerfailure.BodyTooLarge,
+			fmt.Sprintf("the body has more than %d bytes", maxBodyBytes))
+	case errorx.IsOfType(err, tanageringress.OverBudget):
+		return nil, overloadedFailure()
+	case errorx.IsOfType(err, tanageringress.TooLate):
+		return nil, tanagerfailure.New(tanagerfailure.DeadlinePassed, "the body was not complete in time")
 	}
-	return tanagerfailure.New(tanagerfailure.MalformedBody, "the body is not valid: "+err.Error())
+	return nil, tanagerfailure.New(tanagerfailure.MalformedBody, "the body did not arrive whole")
 }
 
 // queryControl sends a message to the control goroutine and waits for its
--- a/tanagerd/tanagerapi/operator.go
+++ b/tanagerd/tanagerapi/operator.go
@@ -209,6 +209,7 @@
 		StoreCalls:        a.StoreCalls(),
 		PeerBytesSent:     sent,
 		PeerBytesReceived: received,
+		Clients:           a.Clients(),
 	}, ok
 }
 
--- a/tanagerd/tanagerapi/request.go
+++ b/tanagerd/tanagerapi/request.go
@@ -1,9 +1,7 @@
 package tanagerapi
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -11,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"tanagersail.example/tanager/tanagerfailure"
+	"tanagersail.example/tanager/tanageringress"
 	"tanagersail.example/tanager/tanagerqueue"
 	"tanagersail.example/tanagerd/tanagermessage"
 )
@@ -45,15 +44,6 @@
 	return tanagerfailure.New(tanagerfailure.InvalidField, field+" "+message)
 }
 
-func bodyTooLarge() *tanagerfailure.Failure {
-	return tanagerfailure.New(tanagerfailure.BodyTooLarge, fmt.Sprintf("the body has more than %d bytes", maxBodyBytes))
-}
-
-func isBodyTooLarge(err error) bool {
-	var tooLarge *http.MaxBytesError
-	return errors.As(err, &tooLarge)
-}
-
 // handleRequest sends a request to a target of a service: POST
 // /v1/services/{service}/requests/{path}. If the outcome is done or failed, the
 // response has the target's status and body.
@@ -111,15 +101,9 @@
 		}
 		spec.Timeout = timeout
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
-	switch {
-	case err != nil && isBodyTooLarge(err):
-		return spec, bodyTooLarge()
-	case err != nil:
-		return spec, tanagerfailure.New(tanagerfailure.MalformedBody, "the body did not arrive whole")
-	}
-	spec.Body = body
-	return spec, nil
+	tanageringress.Begin(r, spec.Timeout)
+	spec.Body, failure = readBody(w, r)
+	return spec, failure
 }
 
 // writeRequestResult responds with the result of a request.
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -110,7 +110,7 @@
 	log := newLog(os.Stdout)
 	log.Info().Str("event", "start").Str("daemon", settings.Daemon.Name).Str("settings", path).Send()
 	debug.SetGCPercent(gcPercent)
-	debug.SetMemoryLimit(softMemoryLimit(settings.Limits.MemoryMB))
+	debug.SetMemoryLimit(SoftMemoryLimit(settings.Limits.MemoryMB))
 	meter, err := tanagermeter.New()
 	if err != nil {
 		return err
@@ -138,9 +138,9 @@
 	return waitForShutdown(path, daemon, servers, failed, log)
 }
 
-// softMemoryLimit returns the soft memory limit, in bytes, of a process with the
+// SoftMemoryLimit returns the soft memory limit, in bytes, of a process with the
 // given memory in MiB.
-func softMemoryLimit(memoryMB int64) int64 { return int64(softMemoryFraction * float64(memoryMB<<20)) }
+func SoftMemoryLimit(memoryMB int64) int64 { return int64(softMemoryFraction * float64(memoryMB<<20)) }
 
 func newMember(s tanagersettings.MemberSettings, timer tanagertimer.Service, meter *tanagermeter.Meter,
 	log zerolog.Logger) (*tanagercell.Daemon, error) {
--- a/tanagerd/tanagerboot/clients.go
+++ b/tanagerd/tanagerboot/clients.go
@@ -34,13 +34,16 @@
 // logTurnedAway logs the difference of two snapshots if clients were turned away in
 // between.
 func logTurnedAway(log zerolog.Logger, last, current tanageringress.Usage) {
-	displaced, refused := current.Displaced-last.Displaced, current.Refused-last.Refused
-	stalled, overBudget := current.Stalled-last.Stalled, current.OverBudget-last.OverBudget
-	tooLate := current.TooLate - last.TooLate
-	if displaced+refused+stalled+overBudget+tooLate == 0 {
+	counts := make(map[string]any)
+	total := uint64(0)
+	before := last.TurnedAway()
+	for reason, count := range current.TurnedAway() {
+		total += count - before[reason]
+		counts[reason] = count - before[reason]
+	}
+	if total == 0 {
 		return
 	}
-	log.Warn().Str("event", "clients_turned_away").Uint64("displaced", displaced).Uint64("refused", refused).
-		Uint64("stalled", stalled).Uint64("over_budget", overBudget).Uint64("too_late", tooLate).
+	log.Warn().Str("event", "clients_turned_away").Fields(counts).
 		Int("connections", current.Connections).Int64("budget_used_bytes", current.Bytes).Send()
 }
--- a/tanagerd/tanagermeter/meter.go
+++ b/tanagerd/tanagermeter/meter.go
@@ -169,13 +169,7 @@
 		u := usage()
 		o.ObserveInt64(connections, int64(u.Connections))
 		o.ObserveInt64(bytes, u.Bytes)
-		for reason, count := range map[string]uint64{
-			"displaced":   u.Displaced,
-			"refused":     u.Refused,
-			"stalled":     u.Stalled,
-			"over_budget": u.OverBudget,
-			"too_late":    u.TooLate,
-		} {
+		for reason, count := range u.TurnedAway() {
 			o.ObserveInt64(turnedAway, int64(count), metric.WithAttributes(attribute.String("reason", reason)))
 		}
 		return nil
--- a/tanagerd/tanagermetric/metric.go
+++ b/tanagerd/tanagermetric/metric.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
 
+	"tanagersail.example/tanager/tanageringress"
 	"tanagersail.example/tanager/tanagerstore"
 	"tanagersail.example/tanagerd/tanagercontrol"
 )
@@ -30,6 +31,8 @@
 	// other daemons.
 	PeerBytesSent     uint64
 	PeerBytesReceived uint64
+	// Clients is what the clients of the API use.
+	Clients tanageringress.Usage
 }
 
 // Source provides the current values of the metrics.
@@ -155,6 +158,16 @@
 		help:  "Workers that have told their tasks.",
 		value: func(s Snapshot) int64 { return int64(s.Status.KnownWorkers) },
 	},
+	{
+		name:  "tanager_client_connections",
+		help:  "Open connections of clients.",
+		value: func(s Snapshot) int64 { return int64(s.Clients.Connections) },
+	},
+	{
+		name:  "tanager_client_bytes",
+		help:  "Use of the budget for heads and bodies, in bytes.",
+		value: func(s Snapshot) int64 { return s.Clients.Bytes },
+	},
 	{
 		name:  "tanager_tasks",
 		help:  "Tasks on the daemon's workers.",
@@ -182,6 +195,11 @@
 	if err != nil {
 		return nil, SetupFailed.Wrap(err, "tanager_requests_not_done")
 	}
+	turnedAway, err := meter.Int64ObservableCounter("tanager_clients_turned_away",
+		metric.WithDescription("Clients that were turned away, by reason."))
+	if err != nil {
+		return nil, SetupFailed.Wrap(err, "tanager_clients_turned_away")
+	}
 	observe := func(ctx context.Context, o metric.Observer) error {
 		snapshot, ok := source.Snapshot(ctx)
 		if !ok {
@@ -193,9 +211,12 @@
 		for code, n := range snapshot.Status.Counters.RequestsOther {
 			o.ObserveInt64(requestsNotDone, int64(n), metric.WithAttributes(attribute.String("code", string(code))))
 		}
+		for reason, n := range snapshot.Clients.TurnedAway() {
+			o.ObserveInt64(turnedAway, int64(n), metric.WithAttributes(attribute.String("reason", reason)))
+		}
 		return nil
 	}
-	if _, err := meter.RegisterCallback(observe, append(observables, requestsNotDone)...); err != nil {
+	if _, err := meter.RegisterCallback(observe, append(observables, requestsNotDone, turnedAway)...); err != nil {
 		return nil, SetupFailed.Wrap(err, "callback")
 	}
 	return &Metrics{
--- a/tanagerd/tanagersettings/member.go
+++ b/tanagerd/tanagersettings/member.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/goccy/go-yaml"
+
+	"tanagersail.example/tanager/tanageringress"
 )
 
 // MemberSettings holds the settings of a member of a cell: a daemon that
@@ -92,9 +94,6 @@
 // defaultMaxValueBytes is the default of MemberLimits.MaxValueBytes.
 const defaultMaxValueBytes = 1 << 20
 
-// defaultMaxHeaderBytes is the default of MemberLimits.MaxHeaderBytes.
-const defaultMaxHeaderBytes = 16 << 10
-
 // defaultGangWaitMS is the default of MemberWork.GangWaitMS.
 const defaultGangWaitMS = 3000
 
@@ -116,7 +115,7 @@
 	m := MemberSettings{
 		Limits: MemberLimits{
 			MaxValueBytes:  defaultMaxValueBytes,
-			MaxHeaderBytes: defaultMaxHeaderBytes,
+			MaxHeaderBytes: tanageringress.DefaultHeadBytes,
 		},
 		Work: MemberWork{
 			GangWaitMS:   defaultGangWaitMS,
--- a/tanagerd/tanagersettings/settings.go
+++ b/tanagerd/tanagersettings/settings.go
@@ -7,6 +7,8 @@
 
 	"github.com/goccy/go-yaml"
 	"github.com/joomcode/errorx"
+
+	"tanagersail.example/tanager/tanageringress"
 )
 
 // Errors is the namespace of this package's errors.
@@ -30,6 +32,7 @@
 	Store     Store      `yaml:"store"`
 	Cell      Cell       `yaml:"cell"`
 	Queue     Queue      `yaml:"queue"`
+	Limits    Limits     `yaml:"limits"`
 	Callers   []Caller   `yaml:"callers"`
 	Operators []Operator `yaml:"operators"`
 	Log       Log        `yaml:"log"`
@@ -105,6 +108,16 @@
 	MaxRetryAfter time.Duration `yaml:"retry_ceiling"`
 }
 
+// Limits holds the resource limits of the daemon.
+type Limits struct {
+	// MemoryMB is the memory in MiB that the daemon may use, and MaxFiles the number
+	// of open file descriptors, connections included.
+	MemoryMB int64 `yaml:"memory_mb"`
+	MaxFiles int   `yaml:"max_files"`
+	// MaxHeaderBytes is the limit of a request's line and header fields.
+	MaxHeaderBytes int `yaml:"max_header_bytes"`
+}
+
 // Caller maps a token to the branch for which it authorizes requests and jobs.
 type Caller struct {
 	Token  string `yaml:"token"`
@@ -149,6 +162,11 @@
 			MinRetryAfter:  250 * time.Millisecond,
 			MaxRetryAfter:  30 * time.Second,
 		},
+		Limits: Limits{
+			MemoryMB:       256,
+			MaxFiles:       4096,
+			MaxHeaderBytes: tanageringress.DefaultHeadBytes,
+		},
 		Log: Log{
 			Level: "info",
 		},
--- a/tanagerd/tanagersettings/validate.go
+++ b/tanagerd/tanagersettings/validate.go
@@ -41,6 +41,7 @@
 	v.checkStore(s.Store)
 	v.checkCell(s)
 	v.checkQueue(s.Queue)
+	v.checkLimits(s.Limits)
 	v.checkTokens(s)
 	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil {
 		v.addProblem("log.level", "must be debug, info, warn or error")
@@ -91,6 +92,12 @@
 	v.checkDuration("queue.retry_ceiling", q.MaxRetryAfter, q.MinRetryAfter, time.Hour)
 }
 
+func (v *validator) checkLimits(l Limits) {
+	v.checkNumber("limits.memory_mb", float64(l.MemoryMB), 32, 1<<20)
+	v.checkNumber("limits.max_files", float64(l.MaxFiles), 64, 1<<20)
+	v.checkNumber("limits.max_header_bytes", float64(l.MaxHeaderBytes), 1<<10, 1<<20)
+}
+
 func (v *validator) checkTokens(s Settings) {
 	seen := make(map[string]bool)
 	checkToken := func(key, value string) {
