Bound the memory of large jobs at the scheduler

Complete jobs of the largest legal size, one after the other, ended the daemon that schedules: it holds each record from its acceptance until some time after its end.

Cause: admission forecasts how long a job waits for its start, and bodies are bounded while they are read. Nothing counted what the accepted jobs take, and jobs that last are in no forecast.

A job whose record takes more than 32 KiB is stored only if the scheduler keeps room for it: all of them may take an eighth of memory_mb, 140 of the largest at 284 MB, and one always has room. A job that has room and comes again keeps it, as it may be stored already, and one that is known is confirmed. The daemon asks before it writes, with the message that it already asks for states with; without a response the job is rejected. Ordinary jobs are far below 32 KiB and do not ask.

The crowd tests have a queue timeout of a minute now, so that stalled bodies stay throughout; with it the crowd is the harder one.

Not bounded: the memory of the tasks of small jobs, up to 5,000 each.

--- a/soak/tanagersoak/apicrowd_test.go
+++ b/soak/tanagersoak/apicrowd_test.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"testing"
-	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -146,16 +145,7 @@
 	request, err := http.NewRequest(http.MethodPost, "http://"+t.address.String()+path, bytes.NewReader(content))
 	t.c.Assert(err, qt.IsNil)
 	request.Header.Set("Authorization", "Bearer "+token)
-	client := &http.Client{
-		Transport: &http.Transport{DisableKeepAlives: true},
-		Timeout:   10 * time.Second,
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return 0
-	}
-	_ = response.Body.Close()
-	return response.StatusCode
+	return statusOf(request)
 }
 
 // Guards the API of `tanagerd run` against the crowds that a cell's daemon meets:
--- a/soak/tanagersoak/crowd_test.go
+++ b/soak/tanagersoak/crowd_test.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -39,6 +40,10 @@
 	crowdAttempts = 3
 )
 
+// answerTimeout is the bound of the wait for the answer to an ordinary request, far
+// above the time that it takes.
+const answerTimeout = 90 * time.Second
+
 // crowdWriteTimeout is how long a client of a crowd tries to send.
 const crowdWriteTimeout = 10 * time.Second
 
@@ -48,6 +53,8 @@
 	process *os.Process
 	exited  <-chan struct{}
 	address netip.AddrPort
+	// others are the other daemons of the cell.
+	others []*daemon
 	// maxFiles is the limit of descriptors in the settings of the process.
 	maxFiles int
 	// answersOrdinaryRequest sends a request over a new connection and reports
@@ -65,6 +72,7 @@
 		MilliCPU:         workerMilliCPU,
 		MeanTaskDuration: meanTaskDuration,
 		MaxBodyBytes:     crowdMaxBodyBytes,
+		QueueTimeout:     time.Minute,
 		Seed:             1,
 	})
 	c.Assert(err, qt.IsNil)
@@ -93,10 +101,11 @@
 		process:  first.command.Process,
 		exited:   first.exited,
 		address:  first.callerAddress,
+		others:   running.daemons[1:],
 		maxFiles: maxFiles,
 	}
 	test.answersOrdinaryRequest = func() bool {
-		return test.submitJob(bytes.NewReader(jobOfSize(c, 0)), nil) == http.StatusOK
+		return test.submitJob(bytes.NewReader(smallJob()), nil) == http.StatusOK
 	}
 	return test
 }
@@ -111,10 +120,14 @@
 	go func() { watched <- watchUsage(ctx, t.process.Pid, t.address) }()
 	crowd := startCrowd(t.address, clients, attempts, send, reads)
 	crowd.arrived.Wait()
-	t.c.Check(await(startTimeout, t.answersOrdinaryRequest), qt.IsTrue, qt.Commentf("no answer to an ordinary request"))
+	t.c.Check(await(answerTimeout, t.answersOrdinaryRequest), qt.IsTrue, qt.Commentf("no answer to an ordinary request"))
 	cancel()
 	peak := <-watched
 	crowd.leave()
+	for _, d := range t.others {
+		t.c.Check(d.failure(), qt.IsNil)
+		peak.residentBytes = max(peak.residentBytes, statusBytes(d.command.Process.Pid, "VmHWM:"))
+	}
 	select {
 	case <-t.exited:
 		t.c.Errorf("the process has exited")
@@ -142,9 +155,15 @@
 	if header != nil {
 		request.Header = header
 	}
+	return statusOf(request)
+}
+
+// statusOf sends a request over a new connection and returns the status of the
+// response, or 0 without one.
+func statusOf(request *http.Request) int {
 	client := &http.Client{
 		Transport: &http.Transport{DisableKeepAlives: true},
-		Timeout:   5 * time.Second,
+		Timeout:   answerTimeout,
 	}
 	response, err := client.Do(request)
 	if err != nil {
@@ -154,19 +173,24 @@
 	return response.StatusCode
 }
 
-// jobOfSize returns a valid job of a size in bytes, or a small one for 0.
-func jobOfSize(c *qt.C, size int) []byte {
-	step := map[string]any{"count": 1, "cpu": 100, "estimate_ms": 300}
-	if size == 0 {
-		return tanagerwire.Encode(map[string]any{"spec": "s", "steps": []any{step}})
-	}
+// smallJob returns a valid job of ordinary size.
+func smallJob() []byte {
+	return tanagerwire.Encode(map[string]any{
+		"spec":  "s",
+		"steps": []any{map[string]any{"count": 1, "cpu": 100, "estimate_ms": 300}},
+	})
+}
+
+// largeJob returns a valid job of a size in bytes, whose steps have more fields.
+func largeJob(c *qt.C, size int, fields map[string]any) []byte {
 	const longestName = 4000
-	steps := make([]any, 64)
+	steps := make([]map[string]any, 64)
 	for i := range steps {
 		steps[i] = map[string]any{"count": 1, "cpu": 100, "estimate_ms": 300, "image": strings.Repeat("i", longestName)}
+		maps.Copy(steps[i], fields)
 	}
 	encode := func(spec, rack int) []byte {
-		steps[0].(map[string]any)["affinity"] = strings.Repeat("r", rack)
+		steps[0]["affinity"] = strings.Repeat("r", rack)
 		return tanagerwire.Encode(map[string]any{"spec": strings.Repeat("s", spec), "steps": steps})
 	}
 	// Strings of at least 256 bytes have headers of equal length.
@@ -438,10 +462,35 @@
 // Guards against complete jobs of the largest legal size, whose bodies and records
 // take their size in several places until they are stored.
 func TestCrowdOfLargeJobs(t *testing.T) {
-	body := jobOfSize(qt.New(t), crowdMaxBodyBytes)
+	body := largeJob(qt.New(t), crowdMaxBodyBytes, nil)
 	newCrowdTest(t, crowdMaxFiles).face(crowdSize, 1, answered(jobHead, body), true)
 }
 
+// Guards against accepted jobs of the largest legal size, which the scheduler holds
+// until some time after their end. These never end. A few clients send one after the
+// other until each has so many accepted that they exceed the memory, or is refused.
+func TestCrowdOfAcceptedJobs(t *testing.T) {
+	const clients, jobsPerClient, refusalsPerClient = 4, 120, 5
+	body := largeJob(qt.New(t), crowdMaxBodyBytes, map[string]any{"persistent": true})
+	test := newCrowdTest(t, crowdMaxFiles)
+	test.face(clients, 1, func(io.ReadWriter) error {
+		for accepted, refused := 0, 0; accepted < jobsPerClient && refused < refusalsPerClient; {
+			switch test.submitJob(bytes.NewReader(body), nil) {
+			case http.StatusOK:
+				accepted++
+			case http.StatusTooManyRequests:
+				refused++
+			default:
+				time.Sleep(storePause)
+			}
+		}
+		return nil
+	}, true)
+}
+
+// storePause is the pause of a client after a submission that could not be stored.
+const storePause = 20 * time.Millisecond
+
 // Guards against connections without a request that take the descriptors which the
 // daemon needs for the store, workers and other daemons.
 func TestCrowdOfIdleConnections(t *testing.T) {
@@ -460,7 +509,7 @@
 func TestLargestLegalRequestsAreServed(t *testing.T) {
 	test := newCrowdTest(t, crowdMaxFiles)
 	c := test.c
-	body := jobOfSize(c, crowdMaxBodyBytes)
+	body := largeJob(c, crowdMaxBodyBytes, nil)
 	for name, reader := range map[string]io.Reader{
 		"whole":        bytes.NewReader(body),
 		"large_chunks": &pieces{content: body, size: 64 << 10},
@@ -470,7 +519,7 @@
 		c.Check(test.submitJob(reader, nil), qt.Equals, http.StatusOK, qt.Commentf("%s", name))
 	}
 	header := http.Header{"X": []string{strings.Repeat("x", 15_000)}}
-	c.Check(test.submitJob(bytes.NewReader(jobOfSize(c, 0)), header), qt.Equals, http.StatusOK)
+	c.Check(test.submitJob(bytes.NewReader(smallJob()), header), qt.Equals, http.StatusOK)
 }
 
 // pieces reads content in pieces of a size, with a pause after each.
--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -69,6 +69,7 @@
 	admission             *tanageradmission.Controller
 	hints                 map[string]AdmissionHint
 	hintsAt               time.Time
+	room                  room
 	orders                Orders
 	counters              Counters
 }
@@ -98,6 +99,9 @@
 		waves:             make(map[int]*wave),
 		admission:         tanageradmission.New(),
 		hints:             make(map[string]AdmissionHint),
+		room: room{
+			reserved: make(map[tanagerwork.JobID]roomReservation),
+		},
 	}
 }
 
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -199,6 +199,7 @@
 	j.objective = j.queue.objective(&record.Spec)
 	j.queue.updateMeanMaxWait(expiryFactor*j.objective - record.Spec.CriticalPath())
 	c.jobs[record.ID] = j
+	c.occupyRoom(j)
 	j.queue.jobCount++
 	defer c.applyEarlyEnds(j)
 	if progress != nil && progress.State.Final() {
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -258,6 +258,7 @@
 		j.queue.jobCount--
 		c.forgetUnusedQueue(j.queue)
 		delete(c.jobs, id)
+		c.vacateRoom(j)
 		c.dirtyJobs = slices.DeleteFunc(c.dirtyJobs, func(dirty *job) bool { return dirty == j })
 	}
 }
--- a/tanager/tanagerdispatch/settings.go
+++ b/tanager/tanagerdispatch/settings.go
@@ -17,6 +17,9 @@
 	// RemoteFactor is the factor by which a task takes longer on a worker outside
 	// the rack of its data.
 	RemoteFactor float64
+	// MaxLargeJobBytes is the limit of the memory of all jobs above LargeJobBytes. At
+	// 0 a scheduler has one such job at a time.
+	MaxLargeJobBytes int64
 }
 
 const (
--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -187,6 +187,19 @@
 	return longest
 }
 
+// stepSize is the size of a step without its names, in bytes.
+const stepSize = 512
+
+// Size returns about how much memory the specification takes, in bytes.
+func (s *Spec) Size() int64 {
+	size := len(s.Payload) + stepSize*len(s.Steps)
+	for i := range s.Steps {
+		step := &s.Steps[i]
+		size += len(step.Label) + len(step.DataRack) + len(step.Image)
+	}
+	return int64(size)
+}
+
 // CheckStructure returns an error of type Invalid if the job cannot be scheduled
 // at all. Unlike Check, it accepts jobs beyond the limits in force: those that
 // were accepted under other limits still run.
--- a/tanagerd/tanagerboot/boot.go
+++ b/tanagerd/tanagerboot/boot.go
@@ -41,6 +41,9 @@
 	// all connections that the descriptors allow: a process at its soft limit has
 	// little processor time left for its work.
 	softMemoryFraction = 0.6
+	// largeJobFraction is the fraction of the memory that large jobs may use at the
+	// scheduler.
+	largeJobFraction = 0.125
 	// gcPercent allows the heap, a small part of the memory limit, to grow by
 	// this percentage before a collection, because CPU time is scarcer than
 	// memory.
@@ -179,11 +182,12 @@
 		Weight:      s.Limits.CPUCores,
 		LeaderTTL:   leaderTTL,
 		Dispatch: tanagerdispatch.Settings{
-			Lease:        min(workerLeaseTTL, s.Work.MaxLease()),
-			StopGrace:    s.Work.StopGrace(),
-			GangWait:     s.Work.GangWait(),
-			Retention:    s.Work.Retention(),
-			RemoteFactor: s.Work.RemoteFactor,
+			Lease:            min(workerLeaseTTL, s.Work.MaxLease()),
+			StopGrace:        s.Work.StopGrace(),
+			GangWait:         s.Work.GangWait(),
+			Retention:        s.Work.Retention(),
+			RemoteFactor:     s.Work.RemoteFactor,
+			MaxLargeJobBytes: int64(largeJobFraction * float64(s.Limits.MemoryMB<<20)),
 		},
 		MaxValueBytes: s.Limits.MaxValueBytes,
 	}, ports, timer, meter, log), nil
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -17,7 +17,6 @@
 	"tanagersail.example/tanager/tanagerport"
 	"tanagersail.example/tanager/tanagertimer"
 	"tanagersail.example/tanager/tanagerwire"
-	"tanagersail.example/tanager/tanagerwork"
 )
 
 // event is a change to the control state. The control goroutine applies it.
@@ -481,11 +480,14 @@
 }
 
 // jobState answers another daemon's request for the state of a job.
-func (c *control) jobState(id tanagerwork.JobID, correlationID uint64) stateResponse {
-	response := stateResponse{CorrelationID: correlationID}
+func (c *control) jobState(r stateRequest) stateResponse {
+	response := stateResponse{CorrelationID: r.CorrelationID}
 	if c.cell == nil || c.loading {
 		return response
 	}
-	response.State, response.Known = c.cell.State(id)
+	response.State, response.Known = c.cell.State(r.ID)
+	if !response.Known && r.Bytes > 0 {
+		response.HasRoom = c.cell.ReserveRoom(c.timer.Now(), r.ID, r.Bytes)
+	}
 	return response
 }
--- a/tanagerd/tanagercell/control_test.go
+++ b/tanagerd/tanagercell/control_test.go
@@ -443,7 +443,7 @@
 		}}},
 	}}.apply(c)
 	q := qt.New(t)
-	q.Assert(c.jobState(id, 1).Known, qt.IsFalse)
+	q.Assert(c.jobState(stateRequest{ID: id}).Known, qt.IsFalse)
 	campaignFinished{result: electionResult{
 		holder: holderRecord{
 			Member: self,
@@ -452,5 +452,5 @@
 		epochRevision:  20,
 		holderRevision: 20,
 	}}.apply(c)
-	q.Assert(c.jobState(id, 1).Known, qt.IsTrue)
+	q.Assert(c.jobState(stateRequest{ID: id}).Known, qt.IsTrue)
 }
--- a/tanagerd/tanagercell/frontend.go
+++ b/tanagerd/tanagercell/frontend.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"tanagersail.example/tanager/tanageradmission"
+	"tanagersail.example/tanager/tanagerdispatch"
 	"tanagersail.example/tanager/tanagerport"
 	"tanagersail.example/tanager/tanagerwire"
 	"tanagersail.example/tanager/tanagerwork"
@@ -55,6 +56,9 @@
 			RetryAfter: decision.RetryAfter,
 		}))
 	}
+	if result, rejected := f.rejectLarge(ctx, &s); rejected {
+		return f.reportSubmit(s.Queue.Name, s.ID, start, decision, result)
+	}
 	result := tanagerport.Result{
 		Reply: f.submit(ctx, tanagerwork.Record{
 			ID:      s.ID,
@@ -84,6 +88,26 @@
 	return result
 }
 
+// rejectLarge returns the result for a large job that must not be stored, and whether
+// it must not: the scheduler has it already, has no room for it or does not respond.
+func (f *Frontend) rejectLarge(ctx context.Context, s *tanagerport.Submission) (tanagerport.Result, bool) {
+	size := s.Spec.Size()
+	if size <= tanagerdispatch.LargeJobBytes {
+		return tanagerport.Result{}, false
+	}
+	response := f.askScheduler(ctx, stateRequest{
+		ID:    s.ID,
+		Bytes: size,
+	})
+	if response.Known {
+		return tanagerport.Result{Reply: tanagerport.ReplyAccepted}, true
+	}
+	return tanagerport.Result{
+		Reply:      tanagerport.ReplyOverloaded,
+		RetryAfter: largeJobRetryAfter,
+	}, !response.HasRoom
+}
+
 // acceptedOr returns an acceptance if the scheduler has the job, and the rejection
 // otherwise, or if the scheduler does not respond within acceptedRequestTimeout.
 func (f *Frontend) acceptedOr(ctx context.Context, id tanagerwork.JobID, rejection tanagerport.Result) tanagerport.Result {
@@ -154,11 +178,17 @@
 // stateFromScheduler asks the scheduler for the state of a job. Without a
 // response within stateRequestTimeout the job counts as not known.
 func (f *Frontend) stateFromScheduler(ctx context.Context, id tanagerwork.JobID) stateResponse {
+	return f.askScheduler(ctx, stateRequest{ID: id})
+}
+
+// askScheduler returns the scheduler's response, or the zero value without one within
+// stateRequestTimeout.
+func (f *Frontend) askScheduler(ctx context.Context, request stateRequest) stateResponse {
 	ctx, cancel := context.WithTimeout(ctx, stateRequestTimeout)
 	defer cancel()
 	reply := make(chan stateResponse, 1)
 	f.control.post(stateCall{
-		request: stateRequest{ID: id},
+		request: request,
 		reply:   reply,
 	})
 	select {
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -94,12 +94,17 @@
 type stateRequest struct {
 	CorrelationID uint64            `json:"question"`
 	ID            tanagerwork.JobID `json:"id"`
+	// Bytes is the size of a large job that is to be stored unless it is known; 0 for
+	// a question only.
+	Bytes int64 `json:"bytes,omitempty"`
 }
 
 type stateResponse struct {
 	CorrelationID uint64            `json:"question"`
 	Known         bool              `json:"known"`
 	State         tanagerwork.State `json:"state"`
+	// HasRoom is set if the scheduler keeps room for the job.
+	HasRoom bool `json:"has_room,omitempty"`
 }
 
 // forwardRequest asks the scheduler to store a job or a cancellation for a
--- a/tanagerd/tanagercell/receive.go
+++ b/tanagerd/tanagercell/receive.go
@@ -48,7 +48,7 @@
 	case topicCancel:
 		err = decodeAndApply(m, func(s cancelStored) { cancelAdded{id: s.ID}.apply(c) })
 	case topicStateRequest:
-		err = decodeAndApply(m, func(r stateRequest) { c.send(from, topicStateResponse, c.jobState(r.ID, r.CorrelationID)) })
+		err = decodeAndApply(m, func(r stateRequest) { c.send(from, topicStateResponse, c.jobState(r)) })
 	case topicStateResponse:
 		err = decodeAndApply(m, func(r stateResponse) { c.receiveStateResponse(r) })
 	case topicForwardRequest:
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -100,6 +100,9 @@
 	// acceptedRequestTimeout bounds the question to the scheduler whether a job
 	// that is about to be rejected has been accepted before.
 	acceptedRequestTimeout = 50 * time.Millisecond
+	// largeJobRetryAfter is the Retry-After for a large job without room. Jobs make
+	// room when they are removed, some time after their end.
+	largeJobRetryAfter = 8 * time.Second
 	// storeSubmitTimeout bounds a daemon's own attempt to store a job or a
 	// cancellation; after it the request is forwarded to the scheduler, within
 	// forwardTimeout.
--- a/tanagerd/tanagercell/state_test.go
+++ b/tanagerd/tanagercell/state_test.go
@@ -77,14 +77,14 @@
 			c.timer.(*tanagertimer.Manual).Advance(age)
 			c.storeUp = storeUp
 			c.lastStoreSuccess = c.timer.Now()
-			unstored := c.jobState(id, 1)
+			unstored := c.jobState(stateRequest{ID: id})
 			comment := qt.Commentf("store up: %v, %v after the end", storeUp, age)
 			qt.Check(t, unstored.Known, qt.IsTrue, comment)
 			qt.Check(t, unstored.State, qt.Equals, tanagerwork.Running, comment)
 			for _, s := range c.cell.TakeSnapshots(1) {
 				c.cell.SnapshotWritten(s.Job, s.Version, true)
 			}
-			qt.Check(t, c.jobState(id, 1).State, qt.Equals, tanagerwork.Completed, comment)
+			qt.Check(t, c.jobState(stateRequest{ID: id}).State, qt.Equals, tanagerwork.Completed, comment)
 		}
 	}
 }
--- a/tanagerfake/tanagersite/site.go
+++ b/tanagerfake/tanagersite/site.go
@@ -23,8 +23,11 @@
 	QueuePrefix = "/jobs/"
 )
 
-// defaultMaxBodyBytes is the default of Settings.MaxBodyBytes.
-const defaultMaxBodyBytes = 64 << 10
+// Defaults of Settings.MaxBodyBytes, in bytes, and of Settings.QueueTimeout.
+const (
+	defaultMaxBodyBytes = 64 << 10
+	defaultQueueTimeout = 3 * time.Second
+)
 
 // Settings configures a Site.
 type Settings struct {
@@ -36,6 +39,9 @@
 	// MaxBodyBytes is the limit of request bodies in the configuration. The default
 	// is 64 KiB.
 	MaxBodyBytes int64
+	// QueueTimeout is the timeout of the queue in the configuration. The default is
+	// three seconds.
+	QueueTimeout time.Duration
 	// Seed seeds the random decisions of the faults.
 	Seed uint64
 	// WorkerLinks gives each worker an address for the daemon of each store endpoint,
@@ -66,6 +72,9 @@
 	if s.MaxBodyBytes == 0 {
 		s.MaxBodyBytes = defaultMaxBodyBytes
 	}
+	if s.QueueTimeout == 0 {
+		s.QueueTimeout = defaultQueueTimeout
+	}
 	site := &Site{
 		settings: s,
 		store:    newStore(),
@@ -155,7 +164,7 @@
 			"name":              QueueName,
 			"host":              QueueHost,
 			"prefix":            QueuePrefix,
-			"timeout_ms":        3000,
+			"timeout_ms":        s.settings.QueueTimeout.Milliseconds(),
 			"target_latency_ms": 60000,
 			"priority":          0,
 			"service":           ServiceName,
