Store some large jobs while no scheduler keeps room

Cause: without a response from the scheduler a large job was rejected, and a daemon that is not the scheduler, or still reads its state, answered that there is no room.

Such an answer says nothing of room now, and without one each daemon stores large jobs of an eighth of the limit until a scheduler keeps room again. One is always stored. TestLargeJobNeedsRoom, TestOnlySchedulerHasRoom.

--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -488,6 +488,7 @@
 	response.State, response.Known = c.cell.State(r.ID)
 	if !response.Known && r.Bytes > 0 {
 		response.HasRoom = c.cell.ReserveRoom(c.timer.Now(), r.ID, r.Bytes)
+		response.NoRoom = !response.HasRoom
 	}
 	return response
 }
--- a/tanagerd/tanagercell/frontend.go
+++ b/tanagerd/tanagercell/frontend.go
@@ -21,6 +21,9 @@
 
 	mu          sync.Mutex
 	finalStates map[tanagerwork.JobID]tanagerwork.State
+	// ownRoomTaken is the size of the large jobs that were stored without the
+	// scheduler's room since it last kept any.
+	ownRoomTaken int64
 }
 
 // Configuration returns the current configuration, or false before the first
@@ -89,7 +92,7 @@
 }
 
 // rejectLarge returns the result for a large job that must not be stored, and whether
-// it must not: the scheduler has it already, has no room for it or does not respond.
+// it must not: the scheduler has it already, or there is no room for it.
 func (f *Frontend) rejectLarge(ctx context.Context, s *tanagerport.Submission) (tanagerport.Result, bool) {
 	size := s.Spec.Size()
 	if size <= tanagerdispatch.LargeJobBytes {
@@ -99,13 +102,37 @@
 		ID:    s.ID,
 		Bytes: size,
 	})
-	if response.Known {
+	switch {
+	case response.Known:
 		return tanagerport.Result{Reply: tanagerport.ReplyAccepted}, true
+	case response.HasRoom:
+		f.returnOwnRoom()
+		return tanagerport.Result{}, false
+	case !response.NoRoom && f.takeOwnRoom(size):
+		return tanagerport.Result{}, false
 	}
 	return tanagerport.Result{
 		Reply:      tanagerport.ReplyOverloaded,
 		RetryAfter: largeJobRetryAfter,
-	}, !response.HasRoom
+	}, true
+}
+
+func (f *Frontend) returnOwnRoom() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ownRoomTaken = 0
+}
+
+// takeOwnRoom takes room for a large job while no scheduler keeps any: this daemon's
+// share, until a scheduler says again which room it has.
+func (f *Frontend) takeOwnRoom(size int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ownRoomTaken > 0 && f.ownRoomTaken+size > f.control.settings.Dispatch.MaxLargeJobBytes/ownRoomShare {
+		return false
+	}
+	f.ownRoomTaken += size
+	return true
 }
 
 // acceptedOr returns an acceptance if the scheduler has the job, and the rejection
--- a/tanagerd/tanagercell/frontend_test.go
+++ b/tanagerd/tanagercell/frontend_test.go
@@ -156,3 +156,47 @@
 	qt.Check(t, out.String(), qt.Contains, strings.Repeat("x", maxLoggedPath))
 	qt.Check(t, out.Len() < 4*maxLoggedPath, qt.IsTrue, qt.Commentf("%d bytes", out.Len()))
 }
+
+// Guards against large jobs that are accepted without limit and end the scheduler: a
+// job above LargeJobBytes is stored only if the scheduler keeps room for it, or, while
+// none does, within the daemon's share. The store is not reached here.
+func TestLargeJobNeedsRoom(t *testing.T) {
+	c := qt.New(t)
+	f := newTestFrontend(t, "")
+	large := tanagerport.Submission{
+		Queue: tanagerport.Queue{Name: "open"},
+		ID:    "0000000000000001",
+		Spec: tanagerwork.Spec{Steps: []tanagerwork.Step{{
+			TaskCount: 1,
+			Image:     strings.Repeat("x", tanagerdispatch.LargeJobBytes),
+		}}},
+	}
+	f.control.settings.Dispatch.MaxLargeJobBytes = 2 * ownRoomShare * large.Spec.Size()
+	reply := func(s tanagerport.Submission) tanagerport.Reply { return f.Submit(context.Background(), s).Reply }
+	for range 2 {
+		c.Check(reply(large), qt.Equals, tanagerport.ReplyUnavailable)
+	}
+	c.Check(reply(large), qt.Equals, tanagerport.ReplyOverloaded)
+	small := large
+	small.Spec = tanagerwork.Spec{Steps: []tanagerwork.Step{{TaskCount: 1}}}
+	c.Check(reply(small), qt.Equals, tanagerport.ReplyUnavailable)
+	f.returnOwnRoom()
+	c.Check(reply(large), qt.Equals, tanagerport.ReplyUnavailable)
+}
+
+// A scheduler keeps room for one job of any size, and a daemon that is not the
+// scheduler says nothing of room.
+func TestOnlySchedulerHasRoom(t *testing.T) {
+	c := qt.New(t)
+	member := newTestControl(t)
+	request := stateRequest{
+		ID:    "0000000000000001",
+		Bytes: 1 << 20,
+	}
+	c.Check(member.jobState(request), qt.Equals, stateResponse{})
+	member.becomeScheduler(1)
+	member.loading = false
+	c.Check(member.jobState(request), qt.Equals, stateResponse{HasRoom: true})
+	request.ID = "0000000000000002"
+	c.Check(member.jobState(request), qt.Equals, stateResponse{NoRoom: true})
+}
--- a/tanagerd/tanagercell/message.go
+++ b/tanagerd/tanagercell/message.go
@@ -103,8 +103,10 @@
 	CorrelationID uint64            `json:"question"`
 	Known         bool              `json:"known"`
 	State         tanagerwork.State `json:"state"`
-	// HasRoom is set if the scheduler keeps room for the job.
+	// HasRoom is set if the scheduler keeps room for the large job, NoRoom if it has
+	// none. Neither is set by a daemon that is not the scheduler, or not yet.
 	HasRoom bool `json:"has_room,omitempty"`
+	NoRoom  bool `json:"no_room,omitempty"`
 }
 
 // forwardRequest asks the scheduler to store a job or a cancellation for a
--- a/tanagerd/tanagercell/settings.go
+++ b/tanagerd/tanagercell/settings.go
@@ -103,6 +103,9 @@
 	// largeJobRetryAfter is the Retry-After for a large job without room. Jobs make
 	// room when they are removed, some time after their end.
 	largeJobRetryAfter = 8 * time.Second
+	// ownRoomShare is the part, 1/ownRoomShare, of the limit of large jobs that a daemon
+	// may use while no scheduler keeps room.
+	ownRoomShare = 8
 	// storeSubmitTimeout bounds a daemon's own attempt to store a job or a
 	// cancellation; after it the request is forwarded to the scheduler, within
 	// forwardTimeout.
