review: take out two cases that earlier ones show, and renumber

AVAIL, an upkeep after a change of the scheduler, is the fault of review/4, and LIMIT, the cap of a wave after one, that of review/10. The cases on memory, on minions that were cut off and on the kind of a minion are now 12, 13 and 14.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
 [ -x target/tanagerd ] && [ -x target/review-3/cases3 ] || exit 2
-exec target/review-3/cases3 budget "$folder/record.txt"
+exec target/review-3/cases3 gang "$folder/record.txt"
--- a/review/cases3/daemon.go
+++ b/review/cases3/daemon.go
@@ -166,8 +166,6 @@
 	// quiet keeps the orders to minions out of the record.
 	quiet   bool
 	watcher watcher
-	// onStop, if set, is told of each stop before the run ends.
-	onStop func(m *minion, r *run)
 }
 
 // newCell starts the platform's store, writes the configuration and prepares daemons.
--- a/review/cases3/main.go
+++ b/review/cases3/main.go
@@ -22,16 +22,18 @@
 	}
 	trouble := os.Getenv("TROUBLE") != "0"
 	switch os.Args[1] {
-	case "wave":
-		err = runWave(r, trouble)
-	case "budget":
-		err = runBudget(r, trouble)
 	case "kind":
 		err = runKind(r, trouble)
 	case "crowd":
 		err = runCrowd(r, trouble)
 	case "gang":
 		err = runGang(r, trouble)
+	case "deadly":
+		err = runDeadly(r, trouble, false)
+	case "deadly-kills":
+		err = runDeadly(r, trouble, true)
+	case "due":
+		err = runDue(r, trouble)
 	default:
 		err = fmt.Errorf("no case %q", os.Args[1])
 	}
--- a/review/cases3/minion.go
+++ b/review/cases3/minion.go
@@ -148,7 +148,12 @@
 
 // crash ends the minion's process and what runs on it. It is back under its id and at
 // its address after a time, with other labels if there are any.
-func (m *minion) crash(away time.Duration, labels ...string) {
+func (m *minion) crash(away time.Duration, labels ...string) { m.fall(true, away, labels...) }
+
+// crashSilently is crash, but connections stay open and silent while the minion is away.
+func (m *minion) crashSilently(away time.Duration) { m.fall(false, away) }
+
+func (m *minion) fall(closes bool, away time.Duration, labels ...string) {
 	m.mu.Lock()
 	if m.down || m.gone {
 		m.mu.Unlock()
@@ -167,8 +172,11 @@
 	clear(m.runs)
 	server := m.server
 	m.mu.Unlock()
-	_ = server.Close()
+	if closes {
+		_ = server.Close()
+	}
 	time.AfterFunc(away, func() {
+		_ = server.Close()
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if m.gone {
@@ -360,9 +368,6 @@
 	r := m.runs[o.Task]
 	m.mu.Unlock()
 	if r != nil && r.number <= o.Run {
-		if m.cell.onStop != nil {
-			m.cell.onStop(m, r)
-		}
 		m.end(r, "stopped")
 	}
 	return http.StatusOK, ""
--- a/review/cases3/record.go
+++ b/review/cases3/record.go
@@ -66,3 +66,6 @@
 	_ = r.file.Close()
 	return status
 }
+
+// contact is contact_ms.
+const contact = 3 * time.Second
