review: cuts and crashes inside the site's limits

The case on minions that were cut off cuts each once, for 5.5 s, and no longer twice in succession. The case on the kind of a minion crashes one of eight minions (0.125 of them; the site has 0.14).

--- a/review/cases3/gang.go
+++ b/review/cases3/gang.go
@@ -13,21 +13,23 @@
 const (
 	// gangWait is gang_wait_ms, gangTime how long a gang works.
 	gangWait = 3 * time.Second
-	gangTime = 4 * time.Second
+	gangTime = 10 * time.Second
 	// gangMinions and gangWidth are the sizes of the fleet and of the gang.
 	gangMinions = 24
 	gangWidth   = 20
-	// Minions are cut off twice, one cut after the other, each for cutTime. cutPeriod is
-	// the time until others are cut off; cutCount of the minions are.
-	cutTime   = 3250 * time.Millisecond
-	cutPeriod = 5850 * time.Millisecond
-	cutCount  = gangMinions / 10
+	// cutDelay after the start of a gang's run, cutCount of the minions are cut off for
+	// cutTime.
+	cutDelay = 100 * time.Millisecond
+	cutTime  = 5500 * time.Millisecond
+	cutCount = gangMinions / 10
 )
 
 // gangs holds the runs of gangs by step and run number.
 type gangs struct {
 	mu   sync.Mutex
 	runs map[string]*gangRun
+	// onComplete, if set, is told of each run whose members are all present.
+	onComplete func()
 }
 
 // gangRun is one run of a gang. Its members work from the moment at which all are
@@ -68,6 +70,9 @@
 		g.since = time.Now()
 		c.record.note("gang %s is complete", key)
 		time.AfterFunc(gangTime, func() { g.end("done") })
+		if c.gangs.onComplete != nil {
+			go c.gangs.onComplete()
+		}
 	}
 	time.AfterFunc(gangWait, func() {
 		if g.percent() == 0 {
@@ -134,17 +139,13 @@
 	e.crashes++
 }
 
-// cut cuts minions off from all daemons, twice. They run on, and their entries
-// stay in the store.
+// cut cuts minions off from all daemons. They run on, and their entries stay in the
+// store.
 func cut(r *record, minions []*minion) {
 	for _, m := range minions {
-		r.note("minion %s is cut off for %v, and again for %v", m.id, cutTime, cutTime)
+		r.note("minion %s is cut off for %v", m.id, cutTime)
 		m.cutOff(1)
-		time.AfterFunc(cutTime, func() {
-			m.cutOff(1)
-			m.cutOff(-1)
-		})
-		time.AfterFunc(2*cutTime, func() { m.cutOff(-1) })
+		time.AfterFunc(cutTime, func() { m.cutOff(-1) })
 	}
 }
 
@@ -187,18 +188,16 @@
 		time.Sleep(time.Second)
 	}
 	if trouble {
-		go func() {
-			turns := rand.Perm(len(minions))
-			for i := 0; i+cutCount <= len(turns); i += cutCount {
-				var turn []*minion
-				for _, j := range turns[i : i+cutCount] {
-					turn = append(turn, minions[j])
-				}
-				cut(r, turn)
-				time.Sleep(cutPeriod)
+		turns := rand.Perm(len(minions))
+		c.gangs.onComplete = func() {
+			time.Sleep(cutDelay)
+			var turn []*minion
+			for _, j := range turns[:min(cutCount, len(turns))] {
+				turn = append(turn, minions[j])
 			}
-		}()
-		time.Sleep(300 * time.Millisecond)
+			turns = turns[len(turn):]
+			cut(r, turn)
+		}
 	}
 	id := jobID()
 	status, _, err := call(client, http.MethodPost, c.daemons[0].caller, "/old/"+id, job("gang", map[string]any{
--- a/review/cases3/kind.go
+++ b/review/cases3/kind.go
@@ -61,7 +61,7 @@
 	c.watcher = check
 	c.configure(10, route{Name: "old", Prefix: "/old/"})
 	var minions []*minion
-	for i := range 4 {
+	for i := range 8 {
 		kind := "b"
 		if i < 2 {
 			kind = "a"
