Presume, and don't count, the crash of a worker that only fell silent

Cause: loseAttempts counted an unconfirmed crash under the task as soon as a worker's lease had expired in silence, and nothing took it back when the same incarnation responded a moment later. After five the job was given up. The gang has no part in it: a single task is given up in the same way.

TestWorkersCutOffFailNoJob, TestTaskAwaitsSilentWorkers and TestPresumedCrashesAreRestored fail on that code, for a single task and for a gang. To take back what had been counted would not have sufficed: in the second of them all five workers are still away at the fifth loss.

The crash of a silent worker is presumed now. The answer of the same incarnation refutes it; that of another one, or of another worker at the address, makes it count as unconfirmed, and so does an entry that stays missing, until it is back. A task that would be given up with its presumed crashes is not started before it is known whether they count. So it is started as often as before, and no job ends on a presumption. Presumed crashes are stored with worker and incarnation, and a successor settles them.

Ruled out: the limit of five as such. It stays for starts without a response on workers that have restarted, and for workers that are gone.

--- a/tanager/tanagerdispatch/cell.go
+++ b/tanager/tanagerdispatch/cell.go
@@ -57,6 +57,8 @@
 	// earlyEnds are the ends of jobs that are not known yet.
 	earlyEnds map[tanagerwork.JobID][]*earlyEnd
 	advisers  []*adviser
+	// presumedCrashes are those of all tasks, the oldest first.
+	presumedCrashes []*presumedCrash
 	// estimateInflation is the moving average of the ratio of a task's duration
 	// to its estimate.
 	estimateInflation float64
@@ -348,6 +350,7 @@
 	if c.now.Sub(c.attemptsScannedAt) >= attemptScanInterval {
 		c.attemptsScannedAt = c.now
 		c.updateIdlePollPause()
+		c.reviewPresumedCrashes()
 		c.checkAssemblies()
 		c.stopStalledAttempts()
 		c.resendStops()
--- a/tanager/tanagerdispatch/crash.go
+++ b/tanager/tanagerdispatch/crash.go
@@ -21,9 +21,10 @@
 // separates the culprit from the others.
 //
 // A crash is confirmed if the worker had accepted or reported the run and has
-// restarted. A start without a response may never have reached the worker, and
-// a worker that does not return may only have been cut off: such unconfirmed
-// crashes do not suffice to give a task up as soon.
+// restarted. A start without a response may never have reached the worker, and a
+// worker may have restarted long after it fell silent: such unconfirmed crashes do
+// not suffice to give a task up as soon. While it is not known whether a silent
+// worker has crashed at all, its crash is only presumed, see presumed.go.
 
 const (
 	// crashWindow is how long after its start a task may crash its worker.
@@ -51,8 +52,8 @@
 const (
 	// unsuspected runs had outlived crashWindow.
 	unsuspected suspicion = iota
-	// suspectedUnconfirmed runs may not have been started before the crash, or the
-	// worker may only have been cut off.
+	// suspectedUnconfirmed runs may not have been started before the crash, or it is
+	// not known whether the worker has crashed.
 	suspectedUnconfirmed
 	// suspectedLate runs may have been started shortly before the crash, but it was
 	// noticed late.
@@ -108,6 +109,7 @@
 		}
 	}
 	for _, a := range suspects {
+		a.workerRestarted = restarted
 		otherJob := slices.ContainsFunc(suspects, func(o *attempt) bool { return o.step.job != a.step.job })
 		switch {
 		case !restarted || a.startedAt.IsZero():
@@ -136,14 +138,26 @@
 // workers have crashed.
 type crashHistory struct {
 	confirmed, unconfirmed tanagerwork.FailedRuns
+	// presumed are crashes that are not known to have happened. They are not among
+	// the others.
+	presumed []*presumedCrash
+	// last is the certainty of the crash that was recorded last, which a successor does
+	// not know.
+	last suspicion
+}
+
+// counted reports whether a run is among the crashes.
+func (h *crashHistory) counted(run int64) bool {
+	return slices.Contains(h.confirmed, run) || slices.Contains(h.unconfirmed, run)
 }
 
 // add adds a run and reports whether it was not yet known. Only the last runs are kept: a
 // long-running task is not given up for any number of unconfirmed crashes.
 func (h *crashHistory) add(run int64, s suspicion) bool {
-	if slices.Contains(h.confirmed, run) || slices.Contains(h.unconfirmed, run) {
+	if h.counted(run) {
 		return false
 	}
+	h.dropPresumed(run)
 	runs := &h.confirmed
 	if s == suspectedUnconfirmed {
 		runs = &h.unconfirmed
@@ -155,8 +169,11 @@
 	return true
 }
 
-// count returns the number of crashes, confirmed or not.
-func (h *crashHistory) count() int { return len(h.confirmed) + len(h.unconfirmed) }
+// count returns the number of crashes, confirmed or not. Presumed ones count while the
+// worker is gone.
+func (h *crashHistory) count() int {
+	return len(h.confirmed) + len(h.unconfirmed) + h.presumedRuns((*presumedCrash).isGone)
+}
 
 // crashes returns the crashes under a task, or under its gang.
 func (s *step) crashes(index int) *crashHistory {
@@ -167,7 +184,10 @@
 }
 
 // suspect reports whether a task, or its gang, may crash the worker that starts it.
-func (s *step) suspect(index int) bool { return s.crashes(index).count() > 0 }
+func (s *step) suspect(index int) bool {
+	h := s.crashes(index)
+	return h.count()+len(h.presumed) > 0
+}
 
 // recordCrash counts the crash of a worker under an attempt that has been
 // removed, and gives its task up after too many.
@@ -176,6 +196,10 @@
 	if a.suspicion == unsuspected || s.job.state.Final() {
 		return
 	}
+	if a.suspicion == suspectedUnconfirmed && !a.workerRestarted {
+		c.presumeCrash(a)
+		return
+	}
 	crashes := s.crashes(a.index)
 	if !crashes.add(a.run, a.suspicion) {
 		return
@@ -184,16 +208,35 @@
 	if certainty == suspectedAlone && s.crashedBefore(a.worker) {
 		certainty = suspectedWithOthers
 	}
+	crashes.last = certainty
+	c.storeCrash(a)
+	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, %d confirmed, %s",
+		crashes.count(), len(crashes.confirmed), certainty))
+	c.checkCrashLimit(a.name(), a.run, s, crashes)
+}
+
+// storeCrash records that the crash of a worker under an attempt is to be stored.
+func (c *Cell) storeCrash(a *attempt) {
+	s := a.step
 	c.markDirty(s.job)
 	s.crashVersion = s.job.progressVersion
 	s.crashedAt = c.now
 	s.crashedWorker = a.worker.ref()
-	c.logAttempt("run_crashed", a, fmt.Sprintf("crash %d in a row, %d confirmed, %s",
-		crashes.count(), len(crashes.confirmed), certainty))
-	if s.crashLimitReached(crashes, certainty) {
-		c.logAttempt("task_given_up", a, fmt.Sprintf("%d workers have crashed under it", crashes.count()))
-		c.finishJob(s.job, tanagerwork.Failed, "a task crashes its workers")
+}
+
+// checkCrashLimit gives a task up if too many workers have crashed under it.
+func (c *Cell) checkCrashLimit(name tanagerwork.TaskName, run int64, s *step, h *crashHistory) {
+	if !s.crashLimitReached(h, h.last) {
+		return
 	}
+	c.logEvent(LogEvent{
+		Name:   "task_given_up",
+		Job:    s.job.record.ID,
+		Task:   name,
+		Run:    run,
+		Reason: fmt.Sprintf("%d workers have crashed under it", h.count()),
+	})
+	c.finishJob(s.job, tanagerwork.Failed, "a task crashes its workers")
 }
 
 // crashedBefore reports whether the last crash under a task of the step happened
@@ -205,23 +248,28 @@
 }
 
 // crashLimitReached reports whether a task is given up after its crashes in a
-// row. A long-running task, which must otherwise be restarted however it ends,
-// needs all crashes and a certain one.
+// row.
 func (s *step) crashLimitReached(h *crashHistory, last suspicion) bool {
-	confirmed := len(h.confirmed)
+	return s.crashCountReached(len(h.confirmed), h.count(), last)
+}
+
+// crashCountReached reports whether a number of crashes suffices to give a task up.
+// A long-running task, which must otherwise be restarted however it ends, needs all
+// crashes and a certain one.
+func (s *step) crashCountReached(confirmed, total int, last suspicion) bool {
 	if s.spec.LongRunning {
 		return confirmed >= maxCrashes && last == suspectedAlone
 	}
 	if confirmed < maxSoleCrashes {
-		return h.count() >= maxUnconfirmedCrashes
+		return total >= maxUnconfirmedCrashes
 	}
 	switch last {
 	case suspectedAlone:
 		return true
 	case suspectedWithOthers:
-		return h.count() >= maxCrashes
+		return total >= maxCrashes
 	}
-	return h.count() >= maxLateCrashes
+	return total >= maxLateCrashes
 }
 
 // recordSurvival clears a task of suspicion if a run of it, or all members of its
--- a/tanager/tanagerdispatch/crash_test.go
+++ b/tanager/tanagerdispatch/crash_test.go
@@ -19,6 +19,8 @@
 	crashTestTick = 20 * time.Millisecond
 	// restartTime is how long a crashed worker of a crashFleet is away.
 	restartTime = 3 * time.Second
+	// cutAge is the age of a run at which its worker is cut off.
+	cutAge = 100 * time.Millisecond
 )
 
 // crashFleet simulates workers that deadly tasks crash right after their start.
@@ -30,7 +32,15 @@
 	deadly func(tanagerwork.TaskName) bool
 	// deadlyAge is how long after its start a deadly task crashes its worker.
 	deadlyAge time.Duration
-	workers   map[string]*fleetWorker
+	// awayTime is how long a crashed worker, or one that is cut off, is away. One worker
+	// of each of the next cutRuns runs is cut off at cutAge; lastCutRun is the last of
+	// these runs.
+	awayTime   time.Duration
+	cutRuns    int
+	lastCutRun int64
+	// unlisted workers are missing from the platform's list.
+	unlisted []string
+	workers  map[string]*fleetWorker
 	// badWorker crashes whatever it starts; crashNextStart lets the next start crash
 	// its worker.
 	badWorker      string
@@ -53,6 +63,7 @@
 	// back: another one has its address.
 	upAt     time.Time
 	down     bool
+	cut      bool
 	replaced bool
 }
 
@@ -71,6 +82,7 @@
 		starts:       make(map[tanagerwork.JobID][]StartOrder),
 		startedAt:    make(map[tanagerwork.JobID]time.Time),
 		taskDuration: 2 * time.Second,
+		awayTime:     restartTime,
 	}
 	for i := range size {
 		f.workers["w"+strconv.Itoa(i)] = &fleetWorker{incarnation: 1}
@@ -84,7 +96,7 @@
 func (f *crashFleet) list() {
 	var entries []tanagerport.WorkerEntry
 	for _, id := range sortedKeys(f.workers) {
-		if w := f.workers[id]; !w.down && !w.replaced {
+		if w := f.workers[id]; !w.down && !w.replaced && !slices.Contains(f.unlisted, id) {
 			entries = append(entries, testWorker(id, w.incarnation))
 		}
 	}
@@ -97,6 +109,7 @@
 		f.tick(crashTestTick)
 		f.restartWorkers()
 		f.crashByAge()
+		f.cutByAge()
 		polls := f.openPolls
 		f.openPolls = nil
 		for _, o := range f.orders.Starts {
@@ -124,7 +137,11 @@
 func (f *crashFleet) restartWorkers() {
 	for _, id := range sortedKeys(f.workers) {
 		w := f.workers[id]
-		if !w.down || f.now.Before(w.upAt) {
+		if f.now.Before(w.upAt) {
+			continue
+		}
+		w.cut = false
+		if !w.down {
 			continue
 		}
 		w.down = false
@@ -153,7 +170,7 @@
 func (f *crashFleet) start(o StartOrder) {
 	w := f.workers[o.Worker.ID]
 	switch {
-	case w.down:
+	case w.down || w.cut:
 		f.cell.HandleStartResponse(f.now, o, tanagerport.Response{}, tanagerport.Refused.New("connection refused"))
 		return
 	case w.replaced:
@@ -176,17 +193,40 @@
 	}
 }
 
+// cutByAge cuts off a worker of a run that has reached cutAge.
+func (f *crashFleet) cutByAge() {
+	for _, id := range sortedKeys(f.workers) {
+		for _, r := range f.workers[id].running {
+			if f.cutRuns > 0 && r.Run > f.lastCutRun && f.now.Sub(r.startedAt) >= cutAge {
+				f.cutRuns--
+				f.lastCutRun = r.Run
+				f.cutOff(f.workers[id])
+				break
+			}
+		}
+	}
+}
+
+// cutOff cuts a worker off from the scheduler. Its runs end with its lease.
+func (f *crashFleet) cutOff(w *fleetWorker) {
+	w.cut = true
+	w.upAt = f.now.Add(f.awayTime)
+	for _, r := range slices.Clone(w.running) {
+		f.end(w, r.Task, r.Run, tanagerport.EndedLeaseExpired)
+	}
+}
+
 func (f *crashFleet) crash(w *fleetWorker) {
 	f.crashes++
 	w.down = true
-	w.upAt = f.now.Add(restartTime)
+	w.upAt = f.now.Add(f.awayTime)
 	w.running, w.ended, w.lastNumber = nil, nil, 0
 }
 
 func (f *crashFleet) stop(o StopOrder) {
 	w := f.workers[o.Worker.ID]
 	switch {
-	case w.down:
+	case w.down || w.cut:
 		f.cell.HandleStopResponse(f.now, o, tanagerport.Response{}, tanagerport.OutcomeUnknown.New("connection refused"))
 		return
 	case w.replaced:
@@ -215,7 +255,7 @@
 func (f *crashFleet) poll(o PollOrder) {
 	w := f.workers[o.Worker.ID]
 	switch {
-	case w.down:
+	case w.down || w.cut:
 		f.cell.HandlePollResponse(f.now, o, f.now, tanagerport.Report{}, tanagerport.OutcomeUnknown.New("connection reset"))
 		return
 	case w.replaced:
--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -171,6 +171,9 @@
 	cpuPercentSetAt time.Time
 	gauge           float64
 	suspicion       suspicion
+	// workerRestarted is set if the worker is known to have restarted since the
+	// attempt became suspected.
+	workerRestarted bool
 	// survived is set once the run has been reported after crashWindow.
 	survived bool
 }
--- a/tanager/tanagerdispatch/place.go
+++ b/tanager/tanagerdispatch/place.go
@@ -40,7 +40,10 @@
 		}
 		var w *worker
 		if s.suspect(i) {
-			if w = c.isolatedWorker(s); w == nil {
+			if !s.awaitsCrashVerdict(i) {
+				w = c.isolatedWorker(s)
+			}
+			if w == nil {
 				placed = false
 				continue
 			}
--- a/tanager/tanagerdispatch/poll.go
+++ b/tanager/tanagerdispatch/poll.go
@@ -151,6 +151,7 @@
 	if w.replacedBy(r.Incarnation) {
 		c.replaceIncarnation(w, r.Incarnation, "report of another incarnation")
 	}
+	c.refuteCrashes(w, sentAt)
 	w.recordAlive(now)
 	w.recordClock(r.Clock, now)
 	if !w.synced {
--- a/tanager/tanagerdispatch/progress.go
+++ b/tanager/tanagerdispatch/progress.go
@@ -19,6 +19,7 @@
 			continue
 		}
 		s.restore(&sp)
+		c.restorePresumedCrashes(s, &sp)
 		if sp.AllDone {
 			for i := range s.tasks {
 				c.markTaskDone(s, i)
@@ -193,6 +194,7 @@
 		Checkpoints: make(map[int]string),
 
 		UnconfirmedCrashes: make(map[int]tanagerwork.FailedRuns),
+		PresumedCrashes:    make(map[int][]tanagerwork.PresumedCrash),
 	}
 	if sp.AllDone {
 		return sp, true
@@ -218,7 +220,8 @@
 			sp.Checkpoints[i] = t.checkpoint
 		}
 	}
-	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Crashes)+len(sp.UnconfirmedCrashes)+len(sp.Checkpoints) > 0
+	return sp, len(sp.Done)+len(sp.Failures)+len(sp.Crashes)+len(sp.UnconfirmedCrashes)+len(sp.PresumedCrashes)+
+		len(sp.Checkpoints) > 0
 }
 
 // addCrashes adds the crashes under a task to the progress of its step.
@@ -229,6 +232,13 @@
 	if len(h.unconfirmed) > 0 {
 		sp.UnconfirmedCrashes[index] = h.unconfirmed
 	}
+	for _, p := range h.presumed {
+		sp.PresumedCrashes[index] = append(sp.PresumedCrashes[index], tanagerwork.PresumedCrash{
+			Run:         p.run,
+			Worker:      p.worker.ID,
+			Incarnation: p.worker.Incarnation,
+		})
+	}
 }
 
 // ExpiredJobs returns the ids, sorted and at most limit, of ended jobs whose
--- a/tanager/tanagerdispatch/schedule.go
+++ b/tanager/tanagerdispatch/schedule.go
@@ -227,7 +227,7 @@
 	if !c.hasAuthority() || c.now.Before(s.due) || c.now.Before(s.notBefore) || c.awaitsCrashWrite(s) || !c.predecessorRunsKnown(s.job) {
 		return false
 	}
-	return !s.spec.Gang || s.activeAttempts == 0
+	return !s.spec.Gang || s.activeAttempts == 0 && !s.awaitsCrashVerdict(0)
 }
 
 // remainingTime returns how long an attempt is expected to run on, from its
--- a/tanager/tanagerwork/record.go
+++ b/tanager/tanagerwork/record.go
@@ -77,13 +77,24 @@
 	// start, by task index; those of a gang are stored under 0.
 	Crashes map[int]FailedRuns `json:"crashes,omitempty"`
 	// UnconfirmedCrashes are those runs of which it is not certain that they had
-	// started, or that the worker crashed and was not only cut off.
+	// started, or that they were running when the worker crashed.
 	UnconfirmedCrashes map[int]FailedRuns `json:"unconfirmed_crashes,omitempty"`
+	// PresumedCrashes are the runs whose workers have fallen silent shortly after
+	// their start and are not known to have crashed.
+	PresumedCrashes map[int][]PresumedCrash `json:"presumed_crashes,omitempty"`
 	// Checkpoints are the latest checkpoints by task index; that of a gang is
 	// stored under 0.
 	Checkpoints map[int]string `json:"saved,omitempty"`
 }
 
+// PresumedCrash is a run with the worker, and its incarnation, that fell silent under
+// it.
+type PresumedCrash struct {
+	Run         int64  `json:"run"`
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"incarnation"`
+}
+
 // FailedRuns are the numbers of the failed runs of a task. The numbers are kept,
 // and not just a count, because workers report ends until they are acknowledged,
 // and a new scheduler receives them again in any order.
