Refuse a job whose start time can't be stored

Cause: nothing bounded the start time of an accepted job, and RFC 3339, the form of times in records, ends with the year 9999. The committer encodes the record in a goroutine of its own, where the panic ends the process.

The job's own checks bound the time for stored records and those of other daemons.

--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -34,6 +34,13 @@
 	maxDuration = 366 * 24 * time.Hour
 )
 
+// The due times of a job are between MinDue, the zero time, and MaxDue. Records are
+// stored with times in the form of RFC 3339, which ends with the year 9999.
+var (
+	MinDue = time.Time{}
+	MaxDue = time.Date(9999, time.December, 31, 23, 59, 59, int(999*time.Millisecond), time.UTC)
+)
+
 // JobID is the caller's id of a job: 16 hexadecimal digits.
 type JobID string
 
@@ -212,6 +219,27 @@
 	if s.Times < 0 || s.Interval < 0 {
 		return Invalid.New("times and interval must not be negative")
 	}
+	if s.Times > 0 && !storableTime(s.FirstDue) {
+		return Invalid.New("first due time %v cannot be stored", s.FirstDue)
+	}
+	return nil
+}
+
+// storableTime reports whether a time has the form of RFC 3339, in which it is stored.
+func storableTime(t time.Time) bool {
+	year := t.Year()
+	return year >= 0 && year <= MaxDue.Year()
+}
+
+// checkDue returns an error of type Invalid if the first occurrence is due outside of
+// the range that new jobs may use.
+func (s *Spec) checkDue() error {
+	if s.Times == 0 {
+		return nil
+	}
+	if s.FirstDue.Before(MinDue) || s.FirstDue.After(MaxDue) {
+		return Invalid.New("first due time is %v, %v to %v is allowed", s.FirstDue, MinDue, MaxDue)
+	}
 	return nil
 }
 
@@ -233,6 +261,9 @@
 	if s.Times > 1 && (s.Interval < minInterval || s.Interval > maxDuration) {
 		return Invalid.New("interval is %v, %v to %v is allowed", s.Interval, minInterval, maxDuration)
 	}
+	if err := s.checkDue(); err != nil {
+		return err
+	}
 	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].checkSize(i); err != nil {
--- a/tanager/tanagerwork/job_test.go
+++ b/tanager/tanagerwork/job_test.go
@@ -43,6 +43,40 @@
 	}
 }
 
+// Guards against jobs whose due time can't be stored, such as one in microseconds: each
+// daemon that tried ended.
+func TestCheckBoundsFirstDueTime(t *testing.T) {
+	for name, tc := range map[string]struct {
+		firstDue        time.Time
+		times           int
+		valid, storable bool
+	}{
+		"now":                  {firstDue: time.UnixMilli(1_700_000_000_000), times: 1, valid: true, storable: true},
+		"earliest":             {firstDue: MinDue, times: 1, valid: true, storable: true},
+		"latest":               {firstDue: MaxDue, times: 1, valid: true, storable: true},
+		"before the year 1":    {firstDue: MinDue.Add(-time.Millisecond), times: 1, storable: true},
+		"after 9999":           {firstDue: MaxDue.Add(time.Millisecond), times: 1},
+		"microseconds":         {firstDue: time.UnixMilli(1_700_000_000_000_000), times: 1},
+		"latest integer":       {firstDue: time.UnixMilli(math.MaxInt64), times: 1},
+		"earliest integer":     {firstDue: time.UnixMilli(math.MinInt64), times: 1},
+		"after 9999 elsewhere": {firstDue: MaxDue.In(time.FixedZone("", 3600)), times: 1},
+	} {
+		spec := Spec{
+			Times:    tc.times,
+			FirstDue: tc.firstDue,
+			Steps:    []Step{{TaskCount: 1}},
+		}
+		err := spec.Check()
+		qt.Check(t, err == nil, qt.Equals, tc.valid, qt.Commentf("%s: %v", name, err))
+		qt.Check(t, spec.CheckStructure() == nil, qt.Equals, tc.storable, qt.Commentf("%s", name))
+		if err == nil && tc.times > 0 {
+			var read Spec
+			qt.Check(t, tanagerwire.Decode(tanagerwire.Encode(spec), &read), qt.IsNil, qt.Commentf("%s", name))
+			qt.Check(t, read.FirstDue.Equal(spec.FirstDue), qt.IsTrue, qt.Commentf("%s: %v", name, read.FirstDue))
+		}
+	}
+}
+
 // Jobs that were accepted under other limits still run.
 func TestStructureIsValidBeyondLimits(t *testing.T) {
 	spec := Spec{
