Reject what can't be encoded instead of ending the process

Marshal returns an error. The committer rejects a job whose record can't be encoded by itself and stores the others of the transaction; a message that can't be encoded is not sent. Both write a line. Decode refuses a time that Marshal refuses, so the remaining users of Encode, which encode what was decoded or computed without times, can't fail. Types without times, such as the reports of workers, are not looked through.

--- a/tanager/tanagerwire/codec.go
+++ b/tanager/tanagerwire/codec.go
@@ -1,6 +1,8 @@
 package tanagerwire
 
 import (
+	"reflect"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/joomcode/errorx"
 )
@@ -11,6 +13,9 @@
 // Malformed is the type of error that Decode returns.
 var Malformed = Errors.NewType("malformed")
 
+// Unencodable is the type of error that Marshal returns.
+var Unencodable = Errors.NewType("unencodable")
+
 // maxElements bounds the length of an array or a map, to limit the memory that
 // corrupt input can allocate.
 const maxElements = 1 << 20
@@ -43,11 +48,22 @@
 	return mode
 }
 
-// Encode returns the CBOR encoding of v. Equal values have equal encodings. It
-// panics if v contains a type that CBOR cannot represent, which is a programming
-// error.
-func Encode(v any) []byte {
+// Marshal returns the CBOR encoding of v. Equal values have equal encodings. It
+// returns an error of type Unencodable if v contains a type that CBOR cannot
+// represent, or a time whose year is not from 0 to 9999.
+func Marshal(v any) ([]byte, error) {
 	b, err := encMode.Marshal(v)
+	if err != nil {
+		return nil, Unencodable.Wrap(err, "encode %T", v)
+	}
+	return b, nil
+}
+
+// Encode is like Marshal for values that can certainly be encoded: all that Decode
+// returns, and values without times that are computed from input. It panics
+// otherwise.
+func Encode(v any) []byte {
+	b, err := Marshal(v)
 	if err != nil {
 		panic(err)
 	}
@@ -55,7 +71,8 @@
 }
 
 // Decode parses a CBOR encoding into v. It returns an error of type Malformed if
-// the payload is not valid CBOR or does not match the type of v.
+// the payload is not valid CBOR, does not match the type of v, or contains a time
+// that Marshal refuses: a number of seconds stands for a time as well.
 func Decode(payload []byte, v any) error { return standard.Decode(payload, v) }
 
 // Decoder decodes untrusted input, such as the bodies of callers, whose encoding
@@ -76,5 +93,8 @@
 	if err := d.mode.Unmarshal(payload, v); err != nil {
 		return Malformed.Wrap(err, "decode %T", v)
 	}
+	if t, found := unencodableTime(reflect.ValueOf(v)); found {
+		return Malformed.New("decode %T: year %d is not from 0 to %d", v, t.Year(), maxYear)
+	}
 	return nil
 }
--- a/tanagerd/tanagercell/commit.go
+++ b/tanagerd/tanagercell/commit.go
@@ -52,6 +52,8 @@
 	// onCommitError receives the number of jobs and the error of each failed
 	// transaction, except conflicts.
 	onCommitError func(jobs int, err error)
+	// onEncodeError receives the error of a job that cannot be stored.
+	onEncodeError func(id tanagerwork.JobID, err error)
 	// onDecodeError receives the error of a stored job that cannot be decoded.
 	// The scheduler reports the same record again on takeover.
 	onDecodeError func(id tanagerwork.JobID, err error)
@@ -123,13 +125,13 @@
 // commit retries until each submission of the batch has an outcome.
 func (c *committer) commit(batch []*submission) {
 	for len(batch) > 0 {
-		batch = dropExpired(batch)
+		var t tanagerport.Transaction
+		batch, t = c.transaction(dropExpired(batch))
 		if len(batch) == 0 {
 			return
 		}
-		epoch, revision := c.currentEpoch()
 		ctx, cancel := sharedContext(batch)
-		_, items, err := c.store.Commit(ctx, c.transaction(batch, epoch, revision))
+		_, items, err := c.store.Commit(ctx, t)
 		cancel()
 		switch {
 		case err == nil:
@@ -265,7 +267,11 @@
 // nothing new except possibly the epoch.
 const conflictRetryDelay = 5 * time.Millisecond
 
-func (c *committer) transaction(batch []*submission, epoch uint64, revision int64) tanagerport.Transaction {
+// transaction returns the transaction that stores the submissions of a batch, and the
+// submissions that it contains. It rejects those whose records cannot be encoded; no
+// transaction has ever contained them.
+func (c *committer) transaction(batch []*submission) ([]*submission, tanagerport.Transaction) {
+	epoch, revision := c.currentEpoch()
 	t := tanagerport.Transaction{
 		Preconditions: []tanagerport.Precondition{{
 			Key:      epochKey,
@@ -273,8 +279,16 @@
 		}},
 	}
 	written := make(map[string]bool, len(batch))
+	var contained []*submission
 	for _, s := range batch {
 		s.record.Epoch = epoch
+		value, err := tanagerwire.Marshal(s.record)
+		if err != nil {
+			c.onEncodeError(s.record.ID, err)
+			s.done <- outcomeRejected
+			continue
+		}
+		contained = append(contained, s)
 		key := jobPrefix + string(s.record.ID)
 		if written[key] {
 			continue
@@ -283,8 +297,8 @@
 		t.Preconditions = append(t.Preconditions, tanagerport.Precondition{Key: key})
 		t.Writes = append(t.Writes, tanagerport.Write{
 			Key:   key,
-			Value: tanagerwire.Encode(s.record),
+			Value: value,
 		})
 	}
-	return t
+	return contained, t
 }
--- a/tanagerd/tanagercell/commit_test.go
+++ b/tanagerd/tanagercell/commit_test.go
@@ -120,6 +120,7 @@
 		stored = append(stored, r)
 	}
 	c.onCommitError = func(jobs int, err error) { t.Logf("%d jobs: %v", jobs, err) }
+	c.onEncodeError = func(id tanagerwork.JobID, err error) { t.Logf("job %s: %v", id, err) }
 	c.onDecodeError = func(id tanagerwork.JobID, err error) { t.Errorf("job %s: %v", id, err) }
 	go func() {
 		defer close(ended)
@@ -152,6 +153,36 @@
 	q.Assert(*stored, qt.HasLen, 0)
 }
 
+// Guards against a job that ends the process of its daemon, and the other jobs of its
+// transaction with it, as its record cannot be encoded.
+func TestUnencodableJobIsRejectedAlone(t *testing.T) {
+	c := newCommitter(newScriptedStore())
+	c.currentEpoch = func() (uint64, int64) { return 0, 0 }
+	var failed []tanagerwork.JobID
+	c.onEncodeError = func(id tanagerwork.JobID, _ error) { failed = append(failed, id) }
+	var stored []tanagerwork.JobID
+	c.onStored = func(r tanagerwork.Record) { stored = append(stored, r.ID) }
+	var batch []*submission
+	for _, id := range []string{"a", "b", "c"} {
+		s := &submission{
+			record: commitRecord(id),
+			ctx:    t.Context(),
+			done:   make(chan submitOutcome, 1),
+		}
+		if id == "b" {
+			s.record.Spec.FirstDue = time.UnixMilli(1_700_000_000_000_000)
+		}
+		batch = append(batch, s)
+	}
+	c.commit(batch)
+	q := qt.New(t)
+	q.Check(<-batch[0].done, qt.Equals, outcomeAccepted)
+	q.Check(<-batch[1].done, qt.Equals, outcomeRejected)
+	q.Check(<-batch[2].done, qt.Equals, outcomeAccepted)
+	q.Check(failed, qt.DeepEquals, []tanagerwork.JobID{"b"})
+	q.Check(stored, qt.DeepEquals, []tanagerwork.JobID{"a", "c"})
+}
+
 // A write whose response was lost is retried and found to be applied.
 func TestLostResponseIsRetriedAndAccepted(t *testing.T) {
 	s := newScriptedStore(scriptedReply{err: tanagerport.OutcomeUnknown.New("lost")})
--- a/tanagerd/tanagercell/control.go
+++ b/tanagerd/tanagercell/control.go
@@ -418,7 +418,12 @@
 
 // send queues a message for a daemon and reports whether it was queued.
 func (c *control) send(to, topic string, payload any) bool {
-	return c.sendEncoded(to, topic, tanagerwire.Encode(payload))
+	encoded, err := tanagerwire.Marshal(payload)
+	if err != nil {
+		c.log.Error().Str("event", "message_unencodable").Str("topic", topic).Str("to", to).Err(err).Send()
+		return false
+	}
+	return c.sendEncoded(to, topic, encoded)
 }
 
 // sendEncoded is send for a payload that is already encoded.
--- a/tanagerd/tanagercell/daemon.go
+++ b/tanagerd/tanagercell/daemon.go
@@ -125,6 +125,9 @@
 	d.committer.onCommitError = func(jobs int, err error) {
 		c.log.Warn().Str("event", "commit_failed").Int("jobs", jobs).Err(err).Send()
 	}
+	d.committer.onEncodeError = func(id tanagerwork.JobID, err error) {
+		c.log.Error().Str("event", "job_encode_failed").Str("job", string(id)).Err(err).Send()
+	}
 	d.committer.onDecodeError = func(id tanagerwork.JobID, err error) {
 		c.log.Error().Str("event", "job_decode_failed").Str("job", string(id)).Err(err).Send()
 	}
