Bound the tasks of a job without adding them up

Cause: the sum of the tasks overflowed and passed the limit, and records that are read had no limit at all.

TestCheckBoundsTaskCounts fails on the code before: it accepts a count of 2^63-1 where the sum overflows, and takes such records from the store.

Each step is compared with what is left of the limit. A stored job may have 100,000 tasks, beyond what is accepted, as jobs that were accepted under other limits still run.

--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -25,8 +25,11 @@
 	// MaxSteps bounds the steps of a job, and the steps that a step depends on. It,
 	// maxTasks and maxOccurrences bound the memory that one job takes, minInterval
 	// the rate at which its occurrences come.
-	MaxSteps       = 64
-	maxTasks       = 5000
+	MaxSteps = 64
+	maxTasks = 5000
+	// maxStoredTasks bounds the tasks of a stored job. A scheduler has not the memory
+	// for more.
+	maxStoredTasks = 100000
 	maxOccurrences = 10000
 	minInterval    = 100 * time.Millisecond
 	// maxDuration bounds the estimates and intervals of a job, so that sums of
@@ -209,7 +212,7 @@
 
 // CheckStructure returns an error of type Invalid if the job cannot be scheduled
 // at all. Unlike Check, it accepts jobs beyond the limits in force: those that
-// were accepted under other limits still run.
+// were accepted under other limits still run, up to maxStoredTasks.
 func (s *Spec) CheckStructure() error {
 	for i := range s.Steps {
 		if err := s.Steps[i].check(i); err != nil {
@@ -222,7 +225,7 @@
 	if s.Times > 0 && !storableTime(s.FirstDue) {
 		return Invalid.New("first due time %v cannot be stored", s.FirstDue)
 	}
-	return nil
+	return s.checkTaskCount(maxStoredTasks)
 }
 
 // storableTime reports whether a time has the form of RFC 3339, in which it is stored.
@@ -264,15 +267,23 @@
 	if err := s.checkDue(); err != nil {
 		return err
 	}
-	tasks := 0
 	for i := range s.Steps {
 		if err := s.Steps[i].checkSize(i); err != nil {
 			return err
 		}
-		tasks += s.Steps[i].TaskCount
 	}
-	if tasks > maxTasks {
-		return Invalid.New("job has %d tasks, at most %d are allowed", tasks, maxTasks)
+	return s.checkTaskCount(maxTasks)
+}
+
+// checkTaskCount returns an error of type Invalid if the steps have more tasks than a
+// limit. Their sum may exceed the largest integer.
+func (s *Spec) checkTaskCount(limit int) error {
+	left := limit
+	for i := range s.Steps {
+		if s.Steps[i].TaskCount > left {
+			return Invalid.New("job has more than %d tasks", limit)
+		}
+		left -= s.Steps[i].TaskCount
 	}
 	return nil
 }
--- a/tanager/tanagerwork/job_test.go
+++ b/tanager/tanagerwork/job_test.go
@@ -88,6 +88,30 @@
 	qt.Assert(t, spec.CheckStructure(), qt.IsNotNil)
 }
 
+// Guards against a job whose numbers of tasks overflow: it was accepted, and ended each
+// scheduler that read it.
+func TestCheckBoundsTaskCounts(t *testing.T) {
+	for name, tc := range map[string]struct {
+		counts          []int
+		valid, storable bool
+	}{
+		"most":                {counts: []int{maxTasks - 1, 1}, valid: true, storable: true},
+		"more":                {counts: []int{maxTasks, 1}, storable: true},
+		"most that is stored": {counts: []int{maxStoredTasks}, storable: true},
+		"more than that":      {counts: []int{maxStoredTasks, 1}},
+		"largest integer":     {counts: []int{math.MaxInt}},
+		"overflow to less":    {counts: []int{math.MaxInt, math.MaxInt}},
+		"overflow to one":     {counts: []int{math.MaxInt, math.MaxInt, 3}},
+	} {
+		var spec Spec
+		for _, count := range tc.counts {
+			spec.Steps = append(spec.Steps, Step{TaskCount: count})
+		}
+		qt.Check(t, spec.Check() == nil, qt.Equals, tc.valid, qt.Commentf("%s", name))
+		qt.Check(t, spec.CheckStructure() == nil, qt.Equals, tc.storable, qt.Commentf("%s", name))
+	}
+}
+
 func TestParseTaskNameRejectsNegativeNumbers(t *testing.T) {
 	name, err := ParseTaskName("00000000000000ab.1.2.3")
 	qt.Assert(t, err, qt.IsNil)
