--- a/tanager/tanagerdispatch/job.go
+++ b/tanager/tanagerdispatch/job.go
@@ -277,7 +277,7 @@
 	if spec.Times == 0 {
 		return time.Time{}
 	}
-	return spec.FirstDue.Add(time.Duration(j.nextOccurrence) * spec.Interval)
+	return spec.Due(j.nextOccurrence)
 }
 
 func (c *Cell) createNextOccurrence(j *job) {
--- a/tanager/tanagerwork/job.go
+++ b/tanager/tanagerwork/job.go
@@ -32,6 +32,9 @@
 	maxStoredTasks = 100000
 	maxOccurrences = 10000
 	minInterval    = 100 * time.Millisecond
+	// maxRecurrenceSeconds bounds the time from the first to the last occurrence of a
+	// stored job, in seconds, so that due times do not overflow.
+	maxRecurrenceSeconds = 1 << 60
 	// maxDuration bounds the estimates and intervals of a job, so that sums of
 	// them do not overflow.
 	maxDuration = 366 * 24 * time.Hour
@@ -177,6 +180,15 @@
 // Occurrences returns how often the steps run, at least 1.
 func (s *Spec) Occurrences() int { return max(s.Times, 1) }
 
+// Due returns when an occurrence of a recurring job is due. The interval times its
+// number may exceed the longest time.Duration.
+func (s *Spec) Due(occurrence int) time.Time {
+	const second = int64(time.Second)
+	n, interval := int64(occurrence), int64(s.Interval)
+	seconds := n*(interval/second) + n/second*(interval%second)
+	return time.Unix(s.FirstDue.Unix()+seconds, int64(s.FirstDue.Nanosecond())+n%second*(interval%second)).UTC()
+}
+
 // HasGang reports whether a step is a gang.
 func (s *Spec) HasGang() bool {
 	return slices.ContainsFunc(s.Steps, func(step Step) bool { return step.Gang })
@@ -225,6 +237,9 @@
 	if s.Times > 0 && !storableTime(s.FirstDue) {
 		return Invalid.New("first due time %v cannot be stored", s.FirstDue)
 	}
+	if float64(s.Times)*s.Interval.Seconds() > maxRecurrenceSeconds {
+		return Invalid.New("%d occurrences at intervals of %v last too long", s.Times, s.Interval)
+	}
 	return s.checkTaskCount(maxStoredTasks)
 }
 
--- a/tanager/tanagerwork/job_test.go
+++ b/tanager/tanagerwork/job_test.go
@@ -112,6 +112,29 @@
 	}
 }
 
+// Guards against due times that overflow, as if the occurrence were due long ago.
+func TestDueTimesDoNotOverflow(t *testing.T) {
+	first := time.Date(2026, time.December, 7, 12, 0, 0, 250_000_000, time.UTC)
+	for _, interval := range []time.Duration{minInterval, 1500 * time.Millisecond, time.Hour, maxDuration} {
+		spec := Spec{
+			Times:    maxOccurrences,
+			FirstDue: first,
+			Interval: interval,
+		}
+		want := first
+		for k := range maxOccurrences {
+			qt.Assert(t, spec.Due(k).Equal(want), qt.IsTrue, qt.Commentf("occurrence %d at intervals of %v", k, interval))
+			want = want.Add(interval)
+		}
+	}
+	spec := Spec{
+		Times:    math.MaxInt,
+		Interval: maxDuration,
+		Steps:    []Step{{TaskCount: 1}},
+	}
+	qt.Assert(t, spec.CheckStructure(), qt.IsNotNil)
+}
+
 func TestParseTaskNameRejectsNegativeNumbers(t *testing.T) {
 	name, err := ParseTaskName("00000000000000ab.1.2.3")
 	qt.Assert(t, err, qt.IsNil)
--- a/tanagerd/tanagercell/fuzz_test.go
+++ b/tanagerd/tanagercell/fuzz_test.go
@@ -33,6 +33,11 @@
 				}},
 			},
 		}}))
+		// A number of seconds stands for a time that no record can hold.
+		f.Add(i, tanagerwire.Encode(map[string]any{"record": map[string]any{
+			"arrived": int64(1) << 50,
+			"spec":    map[string]any{"first_due": int64(1) << 50, "times": 1},
+		}}))
 		f.Add(i, tanagerwire.Encode(handoverRequest{Epoch: 1}))
 		f.Add(i, tanagerwire.Encode(leaderAnnouncement{HolderRevision: 1 << 40}))
 	}
