--- a/tanager/tanagerdispatch/extreme_test.go
+++ b/tanager/tanagerdispatch/extreme_test.go
@@ -176,6 +176,7 @@
 		h.cell.Configure(extremeConfiguration(rt))
 		record := testRecord("01", testStep(2, 500), gangStep(2, 500))
 		record.Spec.Steps[0].DisruptionBudget = 1
+		h.cell.SetAdvisers([]string{"adviser"})
 		h.cell.AddPredecessorWorkers(h.now, []string{"a", "c"})
 		h.cell.AddJob(h.now, record, extremeProgress(rt))
 		h.cell.AddWave(h.now, tanagerport.Wave{
@@ -196,9 +197,13 @@
 				State:    tanagerport.MachineUp,
 				WorkerID: "b",
 			}})
-			for _, o := range h.tick(200 * time.Millisecond).Starts {
+			out := h.tick(200 * time.Millisecond)
+			for _, o := range out.Starts {
 				h.accept(o)
 			}
+			for _, o := range out.Advice {
+				h.cell.HandleAdviceResponse(h.now, o, h.now, extremeAdvice(rt), nil)
+			}
 			if rapid.Bool().Draw(rt, "silent") {
 				h.failPoll("b")
 			}
@@ -233,6 +238,13 @@
 	}
 }
 
+func extremeAdvice(t *rapid.T) tanagerport.Advice {
+	return tanagerport.Advice{
+		Valid:   clampedMillis(recentMillis().Draw(t, "ticket valid")),
+		Tickets: rapid.MapOf(rapid.SampledFrom([]string{"a", "b", "x", "y"}), rapid.Just("ticket")).Draw(t, "tickets"),
+	}
+}
+
 func extremeTask(t *rapid.T, id tanagerwork.JobID) tanagerwork.TaskName {
 	number := rapid.SampledFrom([]int{0, 1, 2, math.MaxInt32})
 	return tanagerwork.TaskName{
