Settle a presumed crash by later responses at the address only

The worker that has responded last counts, and only after the crash was presumed. TestWorkerReplacedAtItsAddressCounts covers a worker that is back under another id, which no test did; the case that was wrong needs a worker that stays known without a lease, and has no test.

--- a/tanager/tanagerdispatch/extreme_test.go
+++ b/tanager/tanagerdispatch/extreme_test.go
@@ -127,23 +127,28 @@
 				rt.Fatalf("occurrence %d is due at %v, and the one before at %v", k, record.Spec.Due(k), record.Spec.Due(k-1))
 			}
 		}
-		h := newHarness(t, 1)
-		h.setWorkers(equippedWorker("a"), equippedWorker("b"))
-		h.sync()
-		h.cell.AddJob(h.now, read, nil)
-		for range 5 {
-			for _, o := range h.tick(100 * time.Millisecond).Starts {
-				h.accept(o)
-			}
-			h.respondToPolls(tanagerport.Report{})
-			for _, s := range h.cell.TakeSnapshots(10) {
-				tanagerwire.Encode(s.Progress)
-				h.cell.SnapshotWritten(s.Job, s.Version, true)
-			}
-		}
+		scheduleRecord(t, read)
 	})
 }
 
+// scheduleRecord schedules a job for a while, and encodes its progress.
+func scheduleRecord(t *testing.T, r tanagerwork.Record) {
+	h := newHarness(t, 1)
+	h.setWorkers(equippedWorker("a"), equippedWorker("b"))
+	h.sync()
+	h.cell.AddJob(h.now, r, nil)
+	for range 5 {
+		for _, o := range h.tick(100 * time.Millisecond).Starts {
+			h.accept(o)
+		}
+		h.respondToPolls(tanagerport.Report{})
+		for _, s := range h.cell.TakeSnapshots(10) {
+			tanagerwire.Encode(s.Progress)
+			h.cell.SnapshotWritten(s.Job, s.Version, true)
+		}
+	}
+}
+
 // Guards against stored records that end each scheduler that reads them: a record that
 // another version has stored is either refused or can be scheduled.
 func TestStoredJobsCanBeScheduledOrAreRefused(t *testing.T) {
@@ -154,16 +159,7 @@
 		if record.Spec.CheckStructure() != nil {
 			rt.Skip("refused")
 		}
-		h := newHarness(t, 1)
-		h.setWorkers(equippedWorker("a"))
-		h.sync()
-		h.cell.AddJob(h.now, record, nil)
-		for range 3 {
-			for _, o := range h.tick(100 * time.Millisecond).Starts {
-				h.accept(o)
-			}
-			h.respondToPolls(tanagerport.Report{})
-		}
+		scheduleRecord(t, record)
 	})
 }
 
--- a/tanager/tanagerdispatch/presumed.go
+++ b/tanager/tanagerdispatch/presumed.go
@@ -57,8 +57,8 @@
 	return !p.step.job.state.Final() && slices.Contains(p.crashes().presumed, p)
 }
 
-// addPresumed adds a presumed crash, unless its run is counted already. Only the last
-// runs are kept, as of other crashes.
+// addPresumed adds a presumed crash, unless its run is counted already, and reports
+// whether it did. Only the last runs are kept, as of other crashes.
 func (h *crashHistory) addPresumed(p *presumedCrash) bool {
 	if h.counted(p.run) {
 		return false
@@ -145,29 +145,39 @@
 		return
 	}
 	c.presumedCrashes = slices.DeleteFunc(c.presumedCrashes, func(p *presumedCrash) bool { return !p.relevant() })
-	byAddress := make(map[netip.AddrPort]*worker)
-	for _, w := range c.workerList {
-		if w.synced {
-			byAddress[w.entry.Address] = w
-		}
-	}
+	occupants := c.occupants()
 	for _, p := range slices.Clone(c.presumedCrashes) {
 		if p.relevant() {
-			c.reviewPresumedCrash(p, byAddress[p.worker.Address])
+			c.reviewPresumedCrash(p, occupants[p.worker.Address])
+		}
+	}
+}
+
+// occupants returns, by address, the workers that have responded last.
+func (c *Cell) occupants() map[netip.AddrPort]*worker {
+	found := make(map[netip.AddrPort]*worker)
+	for _, w := range c.workerList {
+		address := w.entry.Address
+		if !w.synced || !address.IsValid() {
+			continue
+		}
+		if other := found[address]; other == nil || w.lastResponse.After(other.lastResponse) {
+			found[address] = w
 		}
 	}
+	return found
 }
 
 // reviewPresumedCrash counts a presumed crash as an unconfirmed one if its worker has
 // ended, though not necessarily because of the run, or is gone. The occupant is the
-// worker that has responded at the address, or nil.
+// worker that has last responded at the address, or nil.
 func (c *Cell) reviewPresumedCrash(p *presumedCrash, occupant *worker) {
 	w := c.workers[p.worker.ID]
 	switch {
 	case w != nil && w.synced && w.incarnation != p.worker.Incarnation:
 		p.crashes().add(p.run, suspectedUnconfirmed)
 		c.applyPresumed(p, "worker has restarted")
-	case p.worker.Address.IsValid() && occupant != nil && occupant.id != p.worker.ID:
+	case occupant != nil && occupant.id != p.worker.ID && occupant.lastResponse.After(p.presumedAt):
 		p.crashes().add(p.run, suspectedUnconfirmed)
 		c.applyPresumed(p, "another worker responds at its address")
 	case w != nil && w.listed:
@@ -191,6 +201,7 @@
 	c.checkCrashLimit(p.name(), p.run, p.step, crashes)
 }
 
+// name returns the name of the task, or of the member of a gang, that was lost.
 func (p *presumedCrash) name() tanagerwork.TaskName {
 	return tanagerwork.TaskName{
 		StepName: p.step.name,
@@ -212,8 +223,8 @@
 	})
 }
 
-// awaitsCrashVerdict reports whether a task is given up if its presumed crashes
-// count.
+// awaitsCrashVerdict reports whether a task would be given up if its presumed crashes
+// counted, and must not be started before they are settled.
 func (s *step) awaitsCrashVerdict(index int) bool {
 	h := s.crashes(index)
 	total := len(h.confirmed) + len(h.unconfirmed) + h.presumedRuns(anyPresumed)
--- a/tanager/tanagerdispatch/presumed_test.go
+++ b/tanager/tanagerdispatch/presumed_test.go
@@ -1,6 +1,7 @@
 package tanagerdispatch
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -167,3 +168,32 @@
 		}
 	}
 }
+
+// Guards against a task that is started for ever because its workers come back under
+// other ids.
+func TestWorkerReplacedAtItsAddressCounts(t *testing.T) {
+	entry := func(id string) tanagerport.WorkerEntry {
+		e := testWorker(id, 1)
+		e.Address = netip.MustParseAddrPort("10.0.0.1:80")
+		return e
+	}
+	h := newHarness(t, 1)
+	h.setWorkers(entry("a"))
+	h.sync()
+	r := testRecord("01", testStep(1, 1000))
+	h.accept(h.submit(r)[0])
+	crashes := h.cell.jobs[r.ID].steps[0].crashes(0)
+	for end := h.now.Add(cutTime); h.now.Before(end); h.tick(crashTestTick) {
+		h.failPoll("a")
+	}
+	h.c.Assert(crashes.presumed, qt.HasLen, 1)
+	h.c.Assert(crashes.count(), qt.Equals, 0)
+	h.setWorkers(entry("a"), entry("b"))
+	h.tick(attemptScanInterval)
+	h.c.Check(crashes.count(), qt.Equals, 0)
+	h.failPoll("a")
+	h.respondToPolls(tanagerport.Report{})
+	h.tick(attemptScanInterval)
+	h.c.Check(crashes.presumed, qt.HasLen, 0)
+	h.c.Check(crashes.unconfirmed, qt.HasLen, 1)
+}
